LibCore: Add errors, clock, identifiers and the build around them

Cause: every package needs typed errors, a clock that tests can advance and a registry of services before it can be written.

--- /dev/null
+++ b/Libraries/LibCore/Clock.cpp
@@ -0,0 +1,18 @@
+#include <LibCore/Clock.h>
+
+#include <ctime>
+
+namespace comfreyrill {
+
+// CLOCK_MONOTONIC stops while a machine is suspended, so a deadline would look
+// open after the pause although the caller has long given up.
+TimePoint BootClock::now() {
+  timespec Time{};
+  clock_gettime(CLOCK_BOOTTIME, &Time);
+  return TimePoint(std::chrono::seconds(Time.tv_sec) +
+                   std::chrono::nanoseconds(Time.tv_nsec));
+}
+
+TimePoint SystemClock::now() const { return BootClock::now(); }
+
+} // namespace comfreyrill
--- /dev/null
+++ b/Libraries/LibCore/Clock.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <chrono>
+
+namespace comfreyrill {
+
+/// Monotonic clock that also counts the time while the machine is suspended.
+struct BootClock {
+  using duration = std::chrono::nanoseconds;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<BootClock, duration>;
+  static constexpr bool is_steady = true;
+
+  static time_point now();
+};
+
+using Duration = std::chrono::nanoseconds;
+using TimePoint = BootClock::time_point;
+
+/// Source of the current time. Tests use ManualClock in its place.
+class Clock {
+public:
+  virtual ~Clock() = default;
+  virtual TimePoint now() const = 0;
+};
+
+/// The time of the machine.
+class SystemClock final : public Clock {
+public:
+  TimePoint now() const override;
+};
+
+/// A clock that stands still until it is advanced.
+class ManualClock final : public Clock {
+public:
+  TimePoint now() const override { return Current; }
+  void advance(Duration Step) { Current += Step; }
+
+private:
+  TimePoint Current{std::chrono::hours(1)};
+};
+
+} // namespace comfreyrill
--- /dev/null
+++ b/Libraries/LibCore/Hash.cpp
@@ -0,0 +1,54 @@
+#include <LibCore/Hash.h>
+
+#include <array>
+#include <cstring>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+#include <openssl/sha.h>
+
+namespace comfreyrill {
+
+namespace {
+
+std::uint64_t firstEightBytes(const unsigned char *Bytes) {
+  std::uint64_t Value = 0;
+  for (int Index = 0; Index < 8; ++Index)
+    Value = (Value << 8) | Bytes[Index];
+  return Value;
+}
+
+} // namespace
+
+std::uint64_t stableHash(std::initializer_list<std::string_view> Parts) {
+  std::string Joined;
+  for (std::string_view Part : Parts) {
+    Joined += std::to_string(Part.size());
+    Joined += ':';
+    Joined += Part;
+  }
+  std::array<unsigned char, SHA256_DIGEST_LENGTH> Digest{};
+  SHA256(reinterpret_cast<const unsigned char *>(Joined.data()), Joined.size(),
+         Digest.data());
+  return firstEightBytes(Digest.data());
+}
+
+std::string messageTag(std::string_view Secret, std::string_view Message) {
+  std::array<unsigned char, EVP_MAX_MD_SIZE> Digest{};
+  unsigned int Length = 0;
+  HMAC(EVP_sha256(), Secret.data(), static_cast<int>(Secret.size()),
+       reinterpret_cast<const unsigned char *>(Message.data()), Message.size(),
+       Digest.data(), &Length);
+  return hexadecimal(firstEightBytes(Digest.data()));
+}
+
+std::string hexadecimal(std::uint64_t Value) {
+  constexpr std::string_view Digits = "0123456789abcdef";
+  std::string Text(16, '0');
+  for (int Index = 15; Index >= 0; --Index) {
+    Text[static_cast<std::size_t>(Index)] = Digits[Value & 0xF];
+    Value >>= 4;
+  }
+  return Text;
+}
+
+} // namespace comfreyrill
--- /dev/null
+++ b/Libraries/LibCore/Random.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <cstdint>
+#include <random>
+
+namespace comfreyrill {
+
+/// Source of random numbers. Decisions take it as an argument; tests seed it.
+using Random = std::mt19937_64;
+
+/// A generator seeded from the operating system.
+Random systemRandom();
+
+/// A uniform index below Count; Count must not be 0.
+std::size_t randomIndex(Random &Generator, std::size_t Count);
+
+} // namespace comfreyrill
--- /dev/null
+++ b/Meta/install_packages.sh
@@ -0,0 +1,13 @@
+#!/usr/bin/env bash
+# Installs what the build needs on Debian 12. Does nothing when all is there.
+set -euo pipefail
+PACKAGES=(libboost1.81-dev libboost-json1.81-dev libthrift-dev libdocopt-dev
+          libeasyloggingpp-dev librapidcheck-dev libssl-dev libgtest-dev
+          libgmock-dev libbenchmark-dev g++ cmake ninja-build clang-format clang-tidy curl)
+MISSING=()
+for Package in "${PACKAGES[@]}"; do
+  dpkg-query -W -f='${Status}' "$Package" 2>/dev/null | grep -q 'install ok installed' || MISSING+=("$Package")
+done
+[ ${#MISSING[@]} -eq 0 ] && exit 0
+apt-get update
+apt-get install -y "${MISSING[@]}"
--- /dev/null
+++ b/Meta/lint.sh
@@ -0,0 +1,12 @@
+#!/usr/bin/env bash
+# Runs clang-tidy and checks the order of the libraries.
+# Usage: Meta/lint.sh [FILE...]; all sources when no file is given.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+Meta/check_layers.sh
+cmake --preset lint >/dev/null
+FILES=("$@")
+[ ${#FILES[@]} -gt 0 ] || mapfile -t FILES < <(git ls-files --cached --others --exclude-standard '*.cpp' | grep -v /Generated/)
+printf '%s\0' "${FILES[@]}" |
+  xargs -0 -n 1 -P "$(nproc)" clang-tidy -p build-lint --quiet 2> >(grep -vE 'warnings? generated|^Suppressed|^Use -header' >&2 || true)
+echo "lint: ${#FILES[@]} files are clean"
--- /dev/null
+++ b/Tests/LibCore/TestHash.cpp
@@ -0,0 +1,27 @@
+#include <LibCore/Hash.h>
+
+#include <gtest/gtest.h>
+
+namespace comfreyrill {
+namespace {
+
+// Guards against requests whose parts differ only in where one part ends
+// sharing a fingerprint.
+TEST(Hash, PartBoundariesCount) {
+  EXPECT_NE(stableHash({"ab", "c"}), stableHash({"a", "bc"}));
+  EXPECT_EQ(stableHash({"ab", "c"}), stableHash({"ab", "c"}));
+}
+
+// Guards against a key that verifies under another process's secret.
+TEST(Hash, TagDependsOnSecretAndMessage) {
+  EXPECT_NE(messageTag("one", "m"), messageTag("two", "m"));
+  EXPECT_NE(messageTag("one", "m"), messageTag("one", "n"));
+  EXPECT_EQ(messageTag("one", "m").size(), 16U);
+}
+
+TEST(Hash, HexadecimalHasSixteenDigits) {
+  EXPECT_EQ(hexadecimal(0xBEEF), "000000000000beef");
+}
+
+} // namespace
+} // namespace comfreyrill
