--- /dev/null
+++ b/Libraries/LibHttp/ConnectionPool.cpp
@@ -0,0 +1,48 @@
+#include <LibHttp/ConnectionPool.h>
+
+namespace comfreyrill {
+
+ConnectionPool::ConnectionPool(const Executor &Context, const Clock &TimeSource,
+                               Duration IdleTime)
+    : Context(Context), TimeSource(TimeSource), IdleTime(IdleTime) {}
+
+// The connection used last is taken first, so that a falling load leaves the
+// others idle and they are closed.
+Awaitable<Result<std::shared_ptr<HttpConnection>>>
+ConnectionPool::acquire(Endpoint Remote, TimePoint Deadline) {
+  auto Position = Idle.find(Remote);
+  while (Position != Idle.end() && !Position->second.empty()) {
+    auto Connection = std::move(Position->second.back().Connection);
+    Position->second.pop_back();
+    if (Connection->isReusable())
+      co_return Connection;
+  }
+  auto Connection = std::make_shared<HttpConnection>(Context);
+  CO_TRY(co_await Connection->connect(std::move(Remote), Deadline));
+  co_return Connection;
+}
+
+void ConnectionPool::release(const Endpoint &Remote,
+                             std::shared_ptr<HttpConnection> Connection) {
+  if (Connection->isReusable())
+    Idle[Remote].push_back({std::move(Connection), TimeSource.now()});
+}
+
+void ConnectionPool::closeExpired() {
+  const TimePoint Oldest = TimeSource.now() - IdleTime;
+  for (auto Position = Idle.begin(); Position != Idle.end();) {
+    std::erase_if(Position->second,
+                  [&](const IdleEntry &Entry) { return Entry.Since < Oldest; });
+    Position =
+        Position->second.empty() ? Idle.erase(Position) : std::next(Position);
+  }
+}
+
+void ConnectionPool::closeIdle(const Endpoint &Remote) { Idle.erase(Remote); }
+
+std::size_t ConnectionPool::idleConnections(const Endpoint &Remote) const {
+  const auto Position = Idle.find(Remote);
+  return Position == Idle.end() ? 0 : Position->second.size();
+}
+
+} // namespace comfreyrill
