--- /dev/null
+++ b/Libraries/LibPeer/Peer.thrift
@@ -0,0 +1,112 @@
+// Messages between the hosts. A field is never renumbered; new fields are
+// optional, so that hosts of two versions work together during a replacement.
+namespace cpp comfreyrill.wire
+
+enum HostState { STARTING = 1, READY = 2, LEAVING = 3 }
+
+// What a host knows of another one.
+struct HostDescription {
+  1: required string host
+  2: required i64 incarnation
+  3: required string failure_domain
+  4: required string peer_address
+  5: required string caller_address
+  6: required string admin_address
+  7: required HostState state
+  8: required i64 manifest_number
+  9: optional i64 fleet_version
+}
+
+// Calls in flight from one host to one target.
+struct TargetLoad {
+  1: required i32 target_index
+  2: required i32 in_flight
+}
+
+// Loads of one service; target is the index in the manifest of that number.
+struct ServiceLoad {
+  1: required i32 service_index
+  2: required list<TargetLoad> targets
+}
+
+struct Heartbeat {
+  1: required HostDescription sender
+  2: required i64 sequence
+  // Other hosts known to the sender; sent in full only when they changed.
+  3: optional list<HostDescription> known
+  4: optional list<ServiceLoad> loads
+}
+
+struct DocumentRequest {
+  1: required string name
+  2: required i64 newer_than
+}
+
+// A document of the platform (manifest envelope or fleet list) passed on.
+struct DocumentReply {
+  1: required string name
+  2: required i64 number
+  3: required binary value
+}
+
+struct GrantRequest {
+  1: required string key
+  2: required i64 fingerprint
+}
+
+enum GrantVerdict { GRANTED = 1, SEALED = 2, WRONG_INCARNATION = 3, EXPIRED = 4, CONFLICT = 5 }
+
+struct GrantReply { 1: required GrantVerdict verdict }
+
+struct SealRequest { 1: required string key }
+
+enum SealVerdict { SEALED = 1, MAY_HAVE_RUN = 2, FINISHED = 3, WRONG_INCARNATION = 4, EXPIRED = 5 }
+
+enum CallOutcome { ANSWER = 1, NOT_RUN = 2, UNKNOWN = 3 }
+
+// How a call under a key ended. The answer is absent when it was too large to
+// copy.
+struct StoredOutcome {
+  1: required CallOutcome outcome
+  2: required string reason
+  3: optional binary answer
+  4: required i64 fingerprint
+}
+
+struct SealReply {
+  1: required SealVerdict verdict
+  2: optional StoredOutcome stored
+}
+
+struct OutcomeNotice {
+  1: required string key
+  2: required StoredOutcome stored
+}
+
+// Evidence that a request crashed a target.
+struct CrashEvidence {
+  1: required i64 fingerprint
+  2: required string target
+}
+
+struct ErrorReply { 1: required string message }
+
+union PeerBody {
+  1: Heartbeat heartbeat
+  2: DocumentRequest document_request
+  3: DocumentReply document_reply
+  4: GrantRequest grant_request
+  5: GrantReply grant_reply
+  6: SealRequest seal_request
+  7: SealReply seal_reply
+  8: OutcomeNotice outcome_notice
+  9: CrashEvidence crash_evidence
+  10: ErrorReply error
+}
+
+// A correlation of 0 marks a message that expects no reply; a reply repeats the
+// correlation of its request.
+struct PeerMessage {
+  1: required i64 correlation
+  2: required PeerBody body
+}
