Daemon: Add the call path from caller to target

Cause: a request must pass from a caller to a target and back before limits, keys and membership can be measured on it. Change: the daemon's library reads calls, picks a target, sends attempts with a deadline, retries what is proved not run (and idempotent calls at depth 1), and tells the caller one of answer, not-run and unknown. One decision line is logged for each choice and each failed attempt.

--- /dev/null
+++ b/Services/Daemon/CallResult.cpp
@@ -0,0 +1,124 @@
+#include "CallResult.h"
+
+#include "HeaderNames.h"
+
+#include <boost/json.hpp>
+
+namespace comfreyrill {
+
+namespace {
+
+std::string outcomeBody(std::string_view OutcomeText, std::string_view Reason,
+                        std::string_view Message) {
+  boost::json::object Body;
+  Body["outcome"] = OutcomeText;
+  Body["reason"] = Reason;
+  Body["message"] = Message;
+  return boost::json::serialize(Body);
+}
+
+// The fields below belong to one connection or speak to the host, so they are
+// not passed on to the caller.
+void removeHopFields(HttpResponse &Response) {
+  Response.erase(http::field::connection);
+  Response.erase(http::field::keep_alive);
+  Response.erase(http::field::proxy_connection);
+  Response.erase(http::field::te);
+  Response.erase(http::field::trailer);
+  Response.erase(http::field::upgrade);
+  Response.erase(http::field::transfer_encoding);
+  Response.erase(header::Load);
+  Response.erase(header::Draining);
+  Response.erase(header::Outcome);
+  Response.erase(header::NextKey);
+}
+
+} // namespace
+
+std::string_view outcomeName(Outcome Kind) {
+  switch (Kind) {
+  case Outcome::Answer:
+    return "answer";
+  case Outcome::NotRun:
+    return "not-run";
+  case Outcome::Unknown:
+    return "unknown";
+  }
+  return "unknown";
+}
+
+CallResult notRunResult(std::string_view Reason, std::string Message) {
+  return faultyRequestResult(http::status::service_unavailable, Reason,
+                             std::move(Message));
+}
+
+CallResult unknownResult(std::string_view Reason, std::string Message) {
+  CallResult Result;
+  Result.Kind = Outcome::Unknown;
+  Result.Status = http::status::gateway_timeout;
+  Result.Reason = Reason;
+  Result.Message = std::move(Message);
+  return Result;
+}
+
+CallResult faultyRequestResult(http::status Status, std::string_view Reason,
+                               std::string Message) {
+  CallResult Result;
+  Result.Kind = Outcome::NotRun;
+  Result.Status = Status;
+  Result.Reason = Reason;
+  Result.Message = std::move(Message);
+  return Result;
+}
+
+CallResult answerResult(HttpResponse Answer, TargetId Target) {
+  CallResult Result;
+  Result.Kind = Outcome::Answer;
+  Result.Reason = "answered";
+  Result.Answer = std::move(Answer);
+  Result.Target = std::move(Target);
+  return Result;
+}
+
+HttpResponse toResponse(CallResult Result, const RequestId &Id) {
+  HttpResponse Response;
+  if (Result.Kind == Outcome::Answer) {
+    Response = std::move(Result.Answer);
+    removeHopFields(Response);
+    Response.set(header::Target, Result.Target.Value);
+  } else {
+    Response.result(Result.Status);
+    Response.set(http::field::content_type, "application/json");
+    Response.body() =
+        outcomeBody(outcomeName(Result.Kind), Result.Reason, Result.Message);
+    Response.set(header::Reason, Result.Reason);
+    if (!Result.NextKey.empty())
+      Response.set(header::NextKey, Result.NextKey);
+    Response.prepare_payload();
+  }
+  Response.version(11);
+  Response.set(header::Outcome, outcomeName(Result.Kind));
+  Response.set(header::RequestId, Id.Value);
+  if (!Response.has_content_length())
+    Response.prepare_payload();
+  return Response;
+}
+
+HttpResponse jsonResponse(http::status Status, std::string Body) {
+  HttpResponse Response{Status, 11};
+  Response.set(http::field::content_type, "application/json");
+  Response.body() = std::move(Body);
+  Response.prepare_payload();
+  return Response;
+}
+
+HttpResponse refusalResponse(http::status Status, std::string_view Reason,
+                             std::string_view Message) {
+  HttpResponse Response =
+      jsonResponse(Status, outcomeBody("not-run", Reason, Message));
+  Response.set(header::Outcome, "not-run");
+  Response.set(header::Reason, Reason);
+  return Response;
+}
+
+} // namespace comfreyrill
--- /dev/null
+++ b/Services/Daemon/DecisionLog.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <LibCore/Async.h>
+#include <LibLog/Log.h>
+
+#include <deque>
+#include <string>
+
+namespace comfreyrill {
+
+/// Writes one log line for each decision and keeps the latest ones for the
+/// admin endpoint.
+class DecisionLog {
+public:
+  /// Lines that are kept in memory.
+  static constexpr std::size_t KeptLines = 4096;
+  /// Lines that are returned at once.
+  static constexpr std::size_t LinesPerPage = 512;
+
+  DecisionLog(const Executor &Context, Log &Output);
+
+  void write(const LogLine &Line);
+  void warn(const LogLine &Line);
+
+  struct Page {
+    std::uint64_t Next = 0;
+    std::vector<std::string> Lines;
+  };
+
+  /// Lines after a position; waits until there is one or the deadline passes.
+  Awaitable<Page> readAfter(std::uint64_t Position, TimePoint Deadline);
+
+  std::uint64_t position() const { return Written; }
+
+private:
+  void keep(const LogLine &Line);
+
+  Log &Output;
+  Timer Added;
+  std::uint64_t Waiting = 0;
+  std::uint64_t Written = 0;
+  std::deque<std::string> Lines;
+};
+
+} // namespace comfreyrill
--- /dev/null
+++ b/Tests/Daemon/CallPathFixture.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <Daemon/CallService.h>
+#include <LibHttp/HttpClient.h>
+
+#include <functional>
+#include <gtest/gtest.h>
+
+namespace comfreyrill {
+
+/// A call service with fake targets in one event loop.
+class CallPathFixture : public testing::Test {
+protected:
+  using TargetHandler = HttpServer::Handler;
+
+  CallPathFixture()
+      : Output(LogLevel::Error, ""), Decisions(Loop.get_executor(), Output),
+        Pool(Loop.get_executor(), TimeSource, std::chrono::seconds(30)),
+        Services(Loop.get_executor(), TimeSource), Generator(1) {}
+
+  /// Starts a fake target and adds it to the service "stock".
+  Endpoint addTarget(const std::string &Id, TargetHandler Handle) {
+    auto Server = std::make_shared<HttpServer>(
+        Loop.get_executor(), TimeSource, HttpLimits{}, std::move(Handle),
+        [](http::status Status, const Error &Cause) {
+          return jsonResponse(Status, Cause.Message);
+        });
+    EXPECT_TRUE(Server->listen({"127.0.0.1", 0}).has_value());
+    Targets.push_back(Server);
+    TargetConfig Target;
+    Target.Id = TargetId(Id);
+    Target.Address = Server->localEndpoint();
+    Target.Domain = FailureDomain("a");
+    Target.Slots = 6;
+    Service.Targets.push_back(Target);
+    return Target.Address;
+  }
+
+  void applyManifest() {
+    Service.Name = ServiceName("stock");
+    Manifest Next;
+    Next.Services = {Service};
+    Services.apply(Next);
+    Calls = std::make_unique<CallService>(
+        ExecutionContext{Loop.get_executor(), TimeSource, Generator, Pool,
+                         Decisions, Figures, FailureDomain("a"), HttpLimits{}},
+        Services, "test-");
+  }
+
+  /// Runs one call to its end.
+  HttpResponse call(HttpRequest Request) {
+    std::optional<HttpResponse> Response;
+    asio::co_spawn(
+        Loop,
+        [&]() -> Awaitable<void> {
+          Response = co_await Calls->handle(std::move(Request),
+                                            std::make_shared<Disconnect>());
+        },
+        asio::detached);
+    Loop.restart();
+    while (!Response && Loop.run_one() > 0) {
+    }
+    return Response ? std::move(*Response) : HttpResponse{};
+  }
+
+  asio::io_context Loop;
+  SystemClock TimeSource;
+  Log Output;
+  DecisionLog Decisions;
+  ConnectionPool Pool;
+  ServiceTable Services;
+  Random Generator;
+  Metrics Figures;
+  ServiceConfig Service;
+  std::vector<std::shared_ptr<HttpServer>> Targets;
+  std::unique_ptr<CallService> Calls;
+};
+
+} // namespace comfreyrill
--- /dev/null
+++ b/Tests/Daemon/TestCallService.cpp
@@ -0,0 +1,91 @@
+#include "CallPathFixture.h"
+
+#include <Daemon/HeaderNames.h>
+
+namespace comfreyrill {
+namespace {
+
+HttpRequest lookup(std::string_view Path) {
+  HttpRequest Request{http::verb::get, Path, 11};
+  return Request;
+}
+
+HttpServer::Handler answering(std::string Body) {
+  return [Body](HttpRequest Request,
+                std::shared_ptr<Disconnect>) -> Awaitable<HttpResponse> {
+    co_return jsonResponse(http::status::ok,
+                           Body + std::string(Request.target()));
+  };
+}
+
+HttpServer::Handler shedding() {
+  return [](HttpRequest,
+            std::shared_ptr<Disconnect>) -> Awaitable<HttpResponse> {
+    HttpResponse Response = jsonResponse(http::status::service_unavailable, "");
+    Response.set(header::Shed, "before-start");
+    co_return Response;
+  };
+}
+
+TEST_F(CallPathFixture, PassesTheWholeAnswerOn) {
+  addTarget("t1", answering("body of "));
+  applyManifest();
+  const HttpResponse Response = call(lookup("/v1/call/stock/items?x=1"));
+  EXPECT_EQ(Response.result(), http::status::ok);
+  EXPECT_EQ(Response.body(), "body of /items?x=1");
+  EXPECT_EQ(Response[header::Outcome], "answer");
+  EXPECT_EQ(Response[header::Target], "t1");
+}
+
+// Guards against a target that sheds being taken for the whole service.
+TEST_F(CallPathFixture, SendsAShedCallElsewhere) {
+  addTarget("t1", shedding());
+  addTarget("t2", answering(""));
+  applyManifest();
+  for (int Count = 0; Count < 8; ++Count) {
+    const HttpResponse Response = call(lookup("/v1/call/stock/items"));
+    EXPECT_EQ(Response[header::Outcome], "answer");
+    EXPECT_EQ(Response[header::Target], "t2");
+  }
+}
+
+// Guards against "unknown" where every target proved that it did not run the
+// request.
+TEST_F(CallPathFixture, AllShedIsNotRun) {
+  addTarget("t1", shedding());
+  addTarget("t2", shedding());
+  applyManifest();
+  const HttpResponse Response = call(lookup("/v1/call/stock/items"));
+  EXPECT_EQ(Response.result(), http::status::service_unavailable);
+  EXPECT_EQ(Response[header::Outcome], "not-run");
+}
+
+// Guards against a false "not run" after the request reached a target.
+TEST_F(CallPathFixture, SilenceIsUnknown) {
+  addTarget("t1",
+            [this](HttpRequest,
+                   std::shared_ptr<Disconnect>) -> Awaitable<HttpResponse> {
+              Timer Pause(Loop.get_executor());
+              Pause.expires_after(std::chrono::seconds(5));
+              co_await Pause.async_wait(UseTuple);
+              co_return HttpResponse{};
+            });
+  applyManifest();
+  HttpRequest Request = lookup("/v1/call/stock/items");
+  Request.set(header::TimeoutMilliseconds, "20");
+  const HttpResponse Response = call(std::move(Request));
+  EXPECT_EQ(Response.result(), http::status::gateway_timeout);
+  EXPECT_EQ(Response[header::Outcome], "unknown");
+}
+
+TEST_F(CallPathFixture, UnknownServiceNamesTheRemedy) {
+  addTarget("t1", answering(""));
+  applyManifest();
+  const HttpResponse Response = call(lookup("/v1/call/nothing/items"));
+  EXPECT_EQ(Response.result(), http::status::not_found);
+  EXPECT_EQ(Response[header::Outcome], "not-run");
+  EXPECT_NE(Response.body().find("apply a manifest"), std::string::npos);
+}
+
+} // namespace
+} // namespace comfreyrill
