--- /dev/null
+++ b/Libraries/LibOnce/Issuer.cpp
@@ -0,0 +1,186 @@
+#include <LibOnce/Issuer.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace comfreyrill {
+
+namespace {
+
+// A key that was called expired must never be started later, even if the clock
+// were set back.
+TimePoint advanceTime(IssuerState &State, TimePoint Now) {
+  State.Latest = std::max(State.Latest, Now);
+  return State.Latest;
+}
+
+bool mayHaveRun(const SharedOutcome &Stored) {
+  return Stored->Outcome != CallOutcome::NotRun;
+}
+
+bool dropRecord(IssuerState &State) {
+  std::optional<IssuerRecord> Dropped = dropOldest(State.Table);
+  if (!Dropped)
+    return false;
+  TimePoint &Mark =
+      mayHaveRun(Dropped->Stored) ? State.RanMark : State.SealedMark;
+  Mark = std::max(Mark, Dropped->Expiry);
+  return true;
+}
+
+IssuerRecord *findRecord(IssuerState &State, const IdempotencyKey &Key) {
+  if (Key.Issuer != State.Self)
+    return nullptr;
+  auto Position = State.Table.Records.find(Key.Sequence);
+  return Position == State.Table.Records.end() ? nullptr : &Position->second;
+}
+
+// Records are queued only now, so that a call in flight is never dropped.
+SharedOutcome settle(IssuerState &State, const IdempotencyKey &Key,
+                     IssuerRecord &Record, StoredOutcome Outcome,
+                     TimePoint Now) {
+  Outcome.Fingerprint = Record.Fingerprint;
+  auto Stored = std::make_shared<const StoredOutcome>(std::move(Outcome));
+  Record.Phase = CallPhase::Finished;
+  State.Table.Order.push_back(
+      {Key.Sequence, Now + State.Limits.KeyLifetime + State.Limits.Retention});
+  storeOutcome(State.Table, Key.Sequence, Record, Stored,
+               State.Limits.AnswerBytesMaximum);
+  return Stored;
+}
+
+GrantDecision seal(IssuerState &State, const IdempotencyKey &Key,
+                   IssuerRecord &Record, std::string_view Reason,
+                   TimePoint Now) {
+  return {GrantStep::Settled,
+          settle(State, Key, Record,
+                 {CallOutcome::NotRun, std::string(Reason), std::nullopt, 0},
+                 Now)};
+}
+
+BeginDecision decideKnown(const IssuerRecord &Record,
+                          std::uint64_t Fingerprint) {
+  if (Record.Fingerprint != Fingerprint)
+    return {BeginVerdict::Conflict, nullptr};
+  if (Record.Phase == CallPhase::Finished)
+    return {BeginVerdict::Replay, Record.Stored};
+  return {BeginVerdict::Join, nullptr};
+}
+
+} // namespace
+
+IdempotencyKey issueKey(IssuerState &State, std::optional<HostProcess> Witness,
+                        TimePoint Now) {
+  IdempotencyKey Key;
+  Key.Issuer = State.Self;
+  Key.Witness = std::move(Witness);
+  Key.Sequence = State.NextSequence++;
+  Key.Expiry = advanceTime(State, Now) + State.Limits.KeyLifetime;
+  Key.Tag = keyTag(Key, State.Secret);
+  return Key;
+}
+
+BeginDecision beginCall(IssuerState &State, const IdempotencyKey &Key,
+                        std::uint64_t Fingerprint, TimePoint Now) {
+  Now = advanceTime(State, Now);
+  if (Key.Issuer != State.Self)
+    return {BeginVerdict::NotThisIncarnation, nullptr};
+  // The tag comes first, so that a guessed key learns nothing of a record.
+  if (!isKeyGenuine(Key, State.Secret))
+    return {BeginVerdict::Forged, nullptr};
+  dropAgedRecords(State, Now);
+  if (const IssuerRecord *Record = findRecord(State, Key))
+    return decideKnown(*Record, Fingerprint);
+  if (Key.Expiry <= State.RanMark)
+    return {BeginVerdict::Unknown, nullptr};
+  if (Key.Expiry <= State.SealedMark)
+    return {BeginVerdict::NotRun, nullptr};
+  if (Now >= Key.Expiry)
+    return {BeginVerdict::Expired, nullptr};
+  if (State.Table.Records.size() >= State.Limits.RecordsMaximum) {
+    if (!dropRecord(State))
+      return {BeginVerdict::Busy, nullptr};
+    // The mark may have passed this key.
+    if (Key.Expiry <= std::max(State.RanMark, State.SealedMark))
+      return {BeginVerdict::NotRun, nullptr};
+  }
+  CallPhase Phase = Key.Witness ? CallPhase::Requested : CallPhase::Granted;
+  State.Table.Records.emplace(
+      Key.Sequence, IssuerRecord{Fingerprint, Key.Expiry, Phase, nullptr});
+  return {Key.Witness ? BeginVerdict::AskWitness : BeginVerdict::Run, nullptr};
+}
+
+GrantDecision recordGrantReply(IssuerState &State, const IdempotencyKey &Key,
+                               GrantVerdict Verdict, TimePoint Now) {
+  Now = advanceTime(State, Now);
+  IssuerRecord *Record = findRecord(State, Key);
+  if (Record == nullptr || Record->Phase != CallPhase::Requested)
+    return {};
+  switch (Verdict) {
+  case GrantVerdict::Granted:
+    if (Now >= Record->Expiry)
+      return seal(State, Key, *Record, "key_expired", Now);
+    Record->Phase = CallPhase::Granted;
+    return {GrantStep::Run, nullptr};
+  case GrantVerdict::Sealed:
+    return seal(State, Key, *Record, "key_sealed", Now);
+  case GrantVerdict::WrongIncarnation:
+    return seal(State, Key, *Record, "witness_restarted", Now);
+  case GrantVerdict::Expired:
+    return seal(State, Key, *Record, "witness_dropped_record", Now);
+  case GrantVerdict::Conflict:
+    break;
+  }
+  return seal(State, Key, *Record, "witness_refused", Now);
+}
+
+GrantDecision recordGrantTimeout(IssuerState &State, const IdempotencyKey &Key,
+                                 TimePoint Now) {
+  Now = advanceTime(State, Now);
+  IssuerRecord *Record = findRecord(State, Key);
+  if (Record == nullptr || Record->Phase != CallPhase::Requested)
+    return {};
+  return seal(State, Key, *Record, "witness_unreachable", Now);
+}
+
+bool beginAttempt(IssuerState &State, const IdempotencyKey &Key,
+                  TimePoint Deadline, TimePoint Now) {
+  IssuerRecord *Record = findRecord(State, Key);
+  if (Record == nullptr || Record->Phase != CallPhase::Granted ||
+      Now >= Deadline)
+    return false;
+  Record->Phase = CallPhase::Dispatched;
+  return true;
+}
+
+void recordAttemptNotRun(IssuerState &State, const IdempotencyKey &Key) {
+  IssuerRecord *Record = findRecord(State, Key);
+  if (Record != nullptr && Record->Phase == CallPhase::Dispatched)
+    Record->Phase = CallPhase::Granted;
+}
+
+SharedOutcome finishCall(IssuerState &State, const IdempotencyKey &Key,
+                         StoredOutcome Outcome, TimePoint Now) {
+  Now = advanceTime(State, Now);
+  IssuerRecord *Record = findRecord(State, Key);
+  if (Record == nullptr || Record->Phase == CallPhase::Finished)
+    return nullptr;
+  if (Record->Phase == CallPhase::Dispatched &&
+      Outcome.Outcome == CallOutcome::NotRun)
+    Outcome.Outcome = CallOutcome::Unknown;
+  return settle(State, Key, *Record, std::move(Outcome), Now);
+}
+
+SharedOutcome sendableOutcome(const IssuerState &State, SharedOutcome Stored) {
+  return withBoundedAnswer(std::move(Stored),
+                           State.Limits.CopiedAnswerMaximumBytes);
+}
+
+void dropAgedRecords(IssuerState &State, TimePoint Now) {
+  Now = advanceTime(State, Now);
+  while (!State.Table.Order.empty() &&
+         State.Table.Order.front().KeptUntil <= Now)
+    dropRecord(State);
+}
+
+} // namespace comfreyrill
--- /dev/null
+++ b/Libraries/LibOnce/Witness.cpp
@@ -0,0 +1,159 @@
+#include <LibOnce/Witness.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace comfreyrill {
+
+namespace {
+
+WitnessRecordId recordId(const IdempotencyKey &Key) {
+  return {Key.Issuer.Incarnation, Key.Sequence, Key.Tag};
+}
+
+bool isSealed(const WitnessRecord &Record) {
+  return Record.Phase == WitnessPhase::Sealed ||
+         (Record.Phase == WitnessPhase::Finished &&
+          Record.Stored->Outcome == CallOutcome::NotRun);
+}
+
+void dropRecord(WitnessState &State) {
+  std::optional<WitnessRecord> Dropped = dropOldest(State.Table);
+  if (!Dropped)
+    return;
+  if (Dropped->Phase == WitnessPhase::Sealed)
+    --State.Seals;
+  WitnessedIssuer &Issuer = State.Issuers[Dropped->Issuer];
+  TimePoint &Mark = isSealed(*Dropped) ? Issuer.SealedMark : Issuer.GrantedMark;
+  Mark = std::max(Mark, Dropped->Expiry);
+}
+
+WitnessedIssuer *findOrAddIssuer(WitnessState &State, HostIncarnation Issuer) {
+  auto Position = State.Issuers.find(Issuer);
+  if (Position != State.Issuers.end())
+    return &Position->second;
+  if (State.Issuers.size() >= State.Limits.IssuersMaximum)
+    return nullptr;
+  return &State.Issuers.try_emplace(Issuer).first->second;
+}
+
+// Records are queued in the order of their arrival and not of their expiry,
+// because expiries by the clocks of several issuers cannot be compared.
+WitnessRecord &addRecord(WitnessState &State, const IdempotencyKey &Key,
+                         WitnessRecord Record, TimePoint Now) {
+  if (State.Table.Records.size() >= State.Limits.RecordsMaximum)
+    dropRecord(State);
+  State.Table.Order.push_back(
+      {recordId(Key), Now + State.Limits.KeyLifetime + State.Limits.Retention});
+  return State.Table.Records.emplace(recordId(Key), std::move(Record))
+      .first->second;
+}
+
+WitnessRecord *findRecord(WitnessState &State, const IdempotencyKey &Key) {
+  auto Position = State.Table.Records.find(recordId(Key));
+  return Position == State.Table.Records.end() ? nullptr : &Position->second;
+}
+
+} // namespace
+
+void learnIssuer(WitnessState &State, HostIncarnation Issuer,
+                 std::string_view Secret) {
+  WitnessedIssuer *Known = findOrAddIssuer(State, Issuer);
+  if (Known != nullptr && Known->Secret.empty())
+    Known->Secret = std::string(Secret);
+}
+
+GrantVerdict recordGrant(WitnessState &State, const IdempotencyKey &Key,
+                         std::uint64_t Fingerprint, TimePoint Now) {
+  dropAgedRecords(State, Now);
+  if (Key.Witness != State.Self)
+    return GrantVerdict::WrongIncarnation;
+  if (const WitnessRecord *Record = findRecord(State, Key)) {
+    if (Record->Phase != WitnessPhase::Granted)
+      return GrantVerdict::Sealed;
+    return Record->Fingerprint == Fingerprint ? GrantVerdict::Granted
+                                              : GrantVerdict::Conflict;
+  }
+  const WitnessedIssuer *Issuer =
+      findOrAddIssuer(State, Key.Issuer.Incarnation);
+  if (Issuer == nullptr || Key.Expiry <= Issuer->SealedMark)
+    return GrantVerdict::Expired;
+  addRecord(State, Key,
+            {Key.Issuer.Incarnation, Fingerprint, Key.Expiry,
+             WitnessPhase::Granted, nullptr},
+            Now);
+  return GrantVerdict::Granted;
+}
+
+SealReply sealKey(WitnessState &State, const IdempotencyKey &Key,
+                  TimePoint Now) {
+  dropAgedRecords(State, Now);
+  if (Key.Witness != State.Self)
+    return {SealVerdict::WrongIncarnation, nullptr};
+  auto Issuer = State.Issuers.find(Key.Issuer.Incarnation);
+  if (Issuer == State.Issuers.end())
+    return {SealVerdict::MayHaveRun, nullptr};
+  if (!Issuer->second.Secret.empty() &&
+      !isKeyGenuine(Key, Issuer->second.Secret))
+    return {SealVerdict::Forged, nullptr};
+  if (const WitnessRecord *Record = findRecord(State, Key)) {
+    switch (Record->Phase) {
+    case WitnessPhase::Granted:
+      return {SealVerdict::MayHaveRun, nullptr};
+    case WitnessPhase::Sealed:
+      return {SealVerdict::Sealed, nullptr};
+    case WitnessPhase::Finished:
+      return {SealVerdict::Finished, Record->Stored};
+    }
+  }
+  if (Key.Expiry <= Issuer->second.GrantedMark)
+    return {SealVerdict::Expired, nullptr};
+  // Up to the mark nothing is granted, so the key needs no record.
+  if (Key.Expiry <= Issuer->second.SealedMark)
+    return {SealVerdict::Sealed, nullptr};
+  if (State.Seals >= State.Limits.SealsMaximum)
+    return {SealVerdict::MayHaveRun, nullptr};
+  ++State.Seals;
+  addRecord(
+      State, Key,
+      {Key.Issuer.Incarnation, 0, Key.Expiry, WitnessPhase::Sealed, nullptr},
+      Now);
+  return {SealVerdict::Sealed, nullptr};
+}
+
+NoticeVerdict recordOutcome(WitnessState &State, const IdempotencyKey &Key,
+                            StoredOutcome Outcome, TimePoint Now) {
+  dropAgedRecords(State, Now);
+  if (Key.Witness != State.Self)
+    return NoticeVerdict::WrongIncarnation;
+  if (findOrAddIssuer(State, Key.Issuer.Incarnation) == nullptr)
+    return NoticeVerdict::Refused;
+  WitnessRecord *Record = findRecord(State, Key);
+  bool Ran = Outcome.Outcome != CallOutcome::NotRun;
+  if (Record != nullptr && isSealed(*Record))
+    return Ran ? NoticeVerdict::Contradiction : NoticeVerdict::Duplicate;
+  if (Record != nullptr && Record->Phase == WitnessPhase::Finished)
+    return NoticeVerdict::Duplicate;
+  // A notice of not run can overtake the grant request that it belongs to; the
+  // record then refuses the late grant.
+  if (Record == nullptr)
+    Record = &addRecord(State, Key,
+                        {Key.Issuer.Incarnation, Outcome.Fingerprint,
+                         Key.Expiry, WitnessPhase::Granted, nullptr},
+                        Now);
+  Record->Phase = WitnessPhase::Finished;
+  SharedOutcome Stored = withBoundedAnswer(
+      std::make_shared<const StoredOutcome>(std::move(Outcome)),
+      State.Limits.CopiedAnswerMaximumBytes);
+  storeOutcome(State.Table, recordId(Key), *Record, std::move(Stored),
+               State.Limits.AnswerBytesMaximum);
+  return NoticeVerdict::Recorded;
+}
+
+void dropAgedRecords(WitnessState &State, TimePoint Now) {
+  while (!State.Table.Order.empty() &&
+         State.Table.Order.front().KeptUntil <= Now)
+    dropRecord(State);
+}
+
+} // namespace comfreyrill
--- a/Libraries/LibPeer/Generated/Peer_types.cpp
+++ b/Libraries/LibPeer/Generated/Peer_types.cpp
@@ -46,16 +46,18 @@
   SealVerdict::MAY_HAVE_RUN,
   SealVerdict::FINISHED,
   SealVerdict::WRONG_INCARNATION,
-  SealVerdict::EXPIRED
+  SealVerdict::EXPIRED,
+  SealVerdict::FORGED
 };
 const char* _kSealVerdictNames[] = {
   "SEALED",
   "MAY_HAVE_RUN",
   "FINISHED",
   "WRONG_INCARNATION",
-  "EXPIRED"
+  "EXPIRED",
+  "FORGED"
 };
-const std::map<int, const char*> _SealVerdict_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(5, _kSealVerdictValues, _kSealVerdictNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _SealVerdict_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(6, _kSealVerdictValues, _kSealVerdictNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 int _kCallOutcomeValues[] = {
   CallOutcome::ANSWER,
@@ -573,6 +575,11 @@
 __isset.loads = true;
 }
 
+void Heartbeat::__set_key_secret(const std::string& val) {
+  this->key_secret = val;
+__isset.key_secret = true;
+}
+
 uint32_t Heartbeat::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
@@ -652,6 +659,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->key_secret);
+          this->__isset.key_secret = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -707,6 +722,11 @@
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.key_secret) {
+    xfer += oprot->writeFieldBegin("key_secret", ::apache::thrift::protocol::T_STRING, 5);
+    xfer += oprot->writeBinary(this->key_secret);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -718,6 +738,7 @@
   swap(a.sequence, b.sequence);
   swap(a.known, b.known);
   swap(a.loads, b.loads);
+  swap(a.key_secret, b.key_secret);
   swap(a.__isset, b.__isset);
 }
 
@@ -726,6 +747,7 @@
   sequence = other25.sequence;
   known = other25.known;
   loads = other25.loads;
+  key_secret = other25.key_secret;
   __isset = other25.__isset;
 }
 Heartbeat& Heartbeat::operator=(const Heartbeat& other26) {
@@ -733,6 +755,7 @@
   sequence = other26.sequence;
   known = other26.known;
   loads = other26.loads;
+  key_secret = other26.key_secret;
   __isset = other26.__isset;
   return *this;
 }
--- a/Libraries/LibPeer/Generated/Peer_types.h
+++ b/Libraries/LibPeer/Generated/Peer_types.h
@@ -57,7 +57,8 @@
     MAY_HAVE_RUN = 2,
     FINISHED = 3,
     WRONG_INCARNATION = 4,
-    EXPIRED = 5
+    EXPIRED = 5,
+    FORGED = 6
   };
 };
 
@@ -293,9 +294,10 @@
 std::ostream& operator<<(std::ostream& out, const ServiceLoad& obj);
 
 typedef struct _Heartbeat__isset {
-  _Heartbeat__isset() : known(false), loads(false) {}
+  _Heartbeat__isset() : known(false), loads(false), key_secret(false) {}
   bool known :1;
   bool loads :1;
+  bool key_secret :1;
 } _Heartbeat__isset;
 
 class Heartbeat : public virtual ::apache::thrift::TBase {
@@ -304,7 +306,8 @@
   Heartbeat(const Heartbeat&);
   Heartbeat& operator=(const Heartbeat&);
   Heartbeat() noexcept
-            : sequence(0) {
+            : sequence(0),
+              key_secret() {
   }
 
   virtual ~Heartbeat() noexcept;
@@ -312,6 +315,7 @@
   int64_t sequence;
   std::vector<HostDescription>  known;
   std::vector<ServiceLoad>  loads;
+  std::string key_secret;
 
   _Heartbeat__isset __isset;
 
@@ -323,6 +327,8 @@
 
   void __set_loads(const std::vector<ServiceLoad> & val);
 
+  void __set_key_secret(const std::string& val);
+
   bool operator == (const Heartbeat & rhs) const
   {
     if (!(sender == rhs.sender))
@@ -337,6 +343,10 @@
       return false;
     else if (__isset.loads && !(loads == rhs.loads))
       return false;
+    if (__isset.key_secret != rhs.__isset.key_secret)
+      return false;
+    else if (__isset.key_secret && !(key_secret == rhs.key_secret))
+      return false;
     return true;
   }
   bool operator != (const Heartbeat &rhs) const {
--- a/Libraries/LibPeer/Peer.thrift
+++ b/Libraries/LibPeer/Peer.thrift
@@ -35,6 +35,9 @@
   // Other hosts known to the sender; sent in full only when they changed.
   3: optional list<HostDescription> known
   4: optional list<ServiceLoad> loads
+  // Verifies the idempotency keys of the sender, so that a witness does not
+  // record seals of forged keys. Sent in the first heartbeat of a connection.
+  5: optional binary key_secret
 }
 
 struct DocumentRequest {
@@ -60,12 +63,12 @@
 
 struct SealRequest { 1: required string key }
 
-enum SealVerdict { SEALED = 1, MAY_HAVE_RUN = 2, FINISHED = 3, WRONG_INCARNATION = 4, EXPIRED = 5 }
+enum SealVerdict { SEALED = 1, MAY_HAVE_RUN = 2, FINISHED = 3, WRONG_INCARNATION = 4, EXPIRED = 5, FORGED = 6 }
 
 enum CallOutcome { ANSWER = 1, NOT_RUN = 2, UNKNOWN = 3 }
 
-// How a call under a key ended. The answer is absent when it was too large to
-// copy.
+// How a call under a key ended. The answer is present exactly when the outcome
+// is ANSWER; an answer that is too large to copy is sent as UNKNOWN.
 struct StoredOutcome {
   1: required CallOutcome outcome
   2: required string reason
