--- a/Libraries/LibCore/Random.cpp
+++ b/Libraries/LibCore/Random.cpp
@@ -1,5 +1,8 @@
 #include <LibCore/Random.h>
 
+#include <cstdlib>
+#include <openssl/rand.h>
+
 namespace comfreyrill {
 
 Random systemRandom() {
@@ -15,4 +18,14 @@
   return static_cast<std::size_t>(((Generator() >> 32) * Count) >> 32);
 }
 
+// Without a secret every key could be forged, so the process ends when the
+// operating system has no randomness.
+std::string randomSecret(std::size_t Bytes) {
+  std::string Secret(Bytes, '\0');
+  if (RAND_bytes(reinterpret_cast<unsigned char *>(Secret.data()),
+                 static_cast<int>(Bytes)) != 1)
+    std::abort();
+  return Secret;
+}
+
 } // namespace comfreyrill
--- a/Libraries/LibCore/Random.h
+++ b/Libraries/LibCore/Random.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <random>
+#include <string>
 
 namespace comfreyrill {
 
@@ -14,4 +15,7 @@
 /// A uniform index below Count; Count must not be 0.
 std::size_t randomIndex(Random &Generator, std::size_t Count);
 
+/// Bytes that nobody can guess.
+std::string randomSecret(std::size_t Bytes);
+
 } // namespace comfreyrill
--- a/Services/Daemon/CallExecution.cpp
+++ b/Services/Daemon/CallExecution.cpp
@@ -32,10 +32,10 @@
                              std::shared_ptr<ServiceRuntime> Runtime,
                              CallRequest Call, HttpRequest Request,
                              RequestId Id, bool IsIdempotent,
-                             TimePoint Deadline)
+                             TimePoint Deadline, AttemptHooks Hooks)
     : Environment(Environment), Runtime(std::move(Runtime)),
       Call(std::move(Call)), Request(std::move(Request)), Id(std::move(Id)),
-      IsIdempotent(IsIdempotent), Deadline(Deadline),
+      IsIdempotent(IsIdempotent), Deadline(Deadline), Hooks(std::move(Hooks)),
       Started(Environment.TimeSource.now()) {}
 
 void CallExecution::cancel() {
@@ -51,9 +51,13 @@
     const Choice Chosen = co_await chooseOrWait();
     if (Chosen.Kind != ChoiceKind::Dispatch)
       co_return refusal(Chosen.Reason);
+    if (Hooks.MayBegin && !Hooks.MayBegin())
+      co_return refusal("deadline_passed");
     const auto Handle = std::make_shared<AttemptHandle>();
     AttemptReport Report = co_await attempt(Chosen.Target, Handle);
     MayHaveRun = MayHaveRun || !Report.IsProvedNotRun;
+    if (Report.IsProvedNotRun && Hooks.ProvedNotRun)
+      Hooks.ProvedNotRun();
     if (Report.End == AttemptEnd::Answered)
       co_return answerResult(std::move(*Report.Answer), CurrentTarget);
     if (mayTryAgain(Report)) {
--- a/Services/Daemon/CallExecution.h
+++ b/Services/Daemon/CallExecution.h
@@ -8,6 +8,7 @@
 
 #include <LibCore/Random.h>
 
+#include <functional>
 #include <memory>
 
 namespace comfreyrill {
@@ -24,6 +25,14 @@
   HttpLimits TargetLimits;
 };
 
+/// Asked around each attempt of a call that must not run twice.
+struct AttemptHooks {
+  /// False forbids the attempt. Empty allows every attempt.
+  std::function<bool()> MayBegin;
+  /// Told that the target cannot have run the attempt.
+  std::function<void()> ProvedNotRun;
+};
+
 /// Runs one call: picks targets, sends attempts, retries, and says how the
 /// call ended. One object per call.
 class CallExecution : public std::enable_shared_from_this<CallExecution> {
@@ -31,7 +40,7 @@
   CallExecution(ExecutionContext &Environment,
                 std::shared_ptr<ServiceRuntime> Runtime, CallRequest Call,
                 HttpRequest Request, RequestId Id, bool IsIdempotent,
-                TimePoint Deadline);
+                TimePoint Deadline, AttemptHooks Hooks);
 
   Awaitable<CallResult> run();
 
@@ -58,6 +67,7 @@
   RequestId Id;
   bool IsIdempotent;
   TimePoint Deadline;
+  AttemptHooks Hooks;
   TimePoint Started;
   std::vector<TargetIndex> Tried;
   std::uint32_t Attempts = 0;
--- a/Services/Daemon/CallResult.cpp
+++ b/Services/Daemon/CallResult.cpp
@@ -80,7 +80,28 @@
   return Result;
 }
 
+CallResult relayedResult(HttpResponse Response) {
+  CallResult Result;
+  const auto Field = Response.find(header::Outcome);
+  if (Field == Response.end())
+    return unknownResult("relay_answer_unreadable",
+                         "the host that issued the key sent no outcome; look "
+                         "up the effect of the request");
+  Result.Kind = Field->value() == "answer"    ? Outcome::Answer
+                : Field->value() == "not-run" ? Outcome::NotRun
+                                              : Outcome::Unknown;
+  Result.Answer = std::move(Response);
+  Result.IsRelayed = true;
+  return Result;
+}
+
 HttpResponse toResponse(CallResult Result, const RequestId &Id) {
+  if (Result.IsRelayed) {
+    HttpResponse Response = std::move(Result.Answer);
+    Response.erase(http::field::connection);
+    Response.set(header::RequestId, Id.Value);
+    return Response;
+  }
   HttpResponse Response;
   if (Result.Kind == Outcome::Answer) {
     Response = std::move(Result.Answer);
--- a/Services/Daemon/CallResult.h
+++ b/Services/Daemon/CallResult.h
@@ -24,6 +24,9 @@
   /// A fresh key, when the key of the call can never be used again.
   std::string NextKey;
   TargetId Target;
+  /// True when the answer is the whole response of another host, which has its
+  /// own outcome.
+  bool IsRelayed = false;
 };
 
 std::string_view outcomeName(Outcome Kind);
@@ -35,6 +38,9 @@
                                std::string Message);
 CallResult answerResult(HttpResponse Answer, TargetId Target);
 
+/// The response of the host that issued the key of the call.
+CallResult relayedResult(HttpResponse Response);
+
 /// Turns a result into what the caller receives.
 HttpResponse toResponse(CallResult Result, const RequestId &Id);
 
--- /dev/null
+++ b/Services/Daemon/KeyedCalls.cpp
@@ -0,0 +1,432 @@
+#include "KeyedCalls.h"
+
+#include "HeaderNames.h"
+#include "OutcomeCodec.h"
+
+#include <LibHttp/HttpClient.h>
+#include <LibOnce/Relay.h>
+
+#include <algorithm>
+
+namespace comfreyrill {
+
+namespace {
+
+// A witness answers within a fraction of a millisecond. Waiting longer than
+// this only delays the caller, who can go on at once under the next key.
+constexpr Duration GrantTime = std::chrono::milliseconds(500);
+constexpr Duration SealTime = std::chrono::milliseconds(500);
+// Time that is left for asking the witness when the issuer does not answer.
+constexpr Duration SealReserve = std::chrono::milliseconds(100);
+// An issuer whose heartbeats have stopped is given this long to answer.
+constexpr Duration SilentIssuerTime = std::chrono::milliseconds(200);
+constexpr std::size_t SecretBytes = 32;
+
+bool isRelayRefusal(const HttpResponse &Response) {
+  return Response.result() == http::status::misdirected_request;
+}
+
+Result<SealReply> fromWire(const wire::SealReply &Message) {
+  const int Value = Message.verdict;
+  if (Value < static_cast<int>(SealVerdict::Sealed) ||
+      Value > static_cast<int>(SealVerdict::Forged))
+    return Error{ErrorKind::InvalidInput,
+                 "a seal reply has the verdict " + std::to_string(Value) +
+                     "; bring the sending host to this version"};
+  SealReply Reply;
+  Reply.Verdict = static_cast<SealVerdict>(Value);
+  if (Message.__isset.stored) {
+    TRY(auto Stored, comfreyrill::fromWire(Message.stored));
+    Reply.Stored = std::make_shared<const StoredOutcome>(std::move(Stored));
+  }
+  return Reply;
+}
+
+} // namespace
+
+struct KeyedCalls::InFlight {
+  explicit InFlight(const Executor &Context) : Done(Context) {
+    Done.expires_at(TimePoint::max());
+  }
+
+  Timer Done;
+};
+
+KeyedCalls::KeyedCalls(const ExecutionContext &Environment, HostProcess Self,
+                       PeerMesh &Mesh, PeerDirectory Directory)
+    : Environment(Environment), Mesh(Mesh), Directory(std::move(Directory)) {
+  Issuer.Self = Self;
+  Issuer.Secret = randomSecret(SecretBytes);
+  Witness.Self = std::move(Self);
+}
+
+std::string KeyedCalls::issue(WitnessPlacement Placement) {
+  const auto Candidates = Directory.Candidates();
+  const WitnessChoice Chosen =
+      chooseWitness(Candidates, Issuer.Self.Host, Environment.HostDomain,
+                    Placement, Environment.Generator);
+  const std::string Text = formatKey(
+      issueKey(Issuer, Chosen.Witness, Environment.TimeSource.now()));
+  constexpr std::string_view KindNames[] = {"as_placed", "elsewhere",
+                                            "no_peer"};
+  LogLine Line("key_issued");
+  Line.field("key", Text)
+      .field("witness", Chosen.Witness ? Chosen.Witness->Host.Value : "none")
+      .field("reason", KindNames[static_cast<int>(Chosen.Kind)]);
+  Environment.Decisions.write(Line);
+  return Text;
+}
+
+Awaitable<CallResult> KeyedCalls::handle(KeyedCall Call) {
+  const auto Parsed = parseKey(Call.KeyText);
+  if (!Parsed)
+    co_return faultyRequestResult(http::status::bad_request, "faulty_key",
+                                  Parsed.error().Message);
+  const IdempotencyKey Key = Parsed.value();
+  const BeginDecision Decision = beginCall(Issuer, Key, Call.Fingerprint,
+                                           Environment.TimeSource.now());
+  switch (Decision.Verdict) {
+  case BeginVerdict::AskWitness:
+    co_return co_await askWitness(Call, Key);
+  case BeginVerdict::Run:
+    co_return co_await runGranted(Call, Key);
+  case BeginVerdict::Join:
+    co_return co_await join(Call, Key);
+  case BeginVerdict::Replay:
+    log(Call, "replay", Decision.Stored->Reason);
+    co_return withNextKey(Call, fromStored(*Decision.Stored));
+  case BeginVerdict::NotRun:
+    log(Call, "not_run", "key_sealed");
+    co_return withNextKey(
+        Call, notRunResult("key_sealed", "the key can no longer be used and "
+                                         "its request was not run; send the "
+                                         "request again under the next key"));
+  case BeginVerdict::Unknown:
+    log(Call, "unknown", "record_dropped");
+    co_return unknownResult("record_dropped",
+                            "the record of this key is no longer kept; look "
+                            "up the effect of the request");
+  case BeginVerdict::Conflict:
+    log(Call, "refuse", "key_conflict");
+    co_return faultyRequestResult(
+        http::status::conflict, "key_conflict",
+        "the key belongs to a request with another method, path or body; "
+        "fetch a new key from POST /v1/keys for this request");
+  case BeginVerdict::Forged:
+    log(Call, "refuse", "key_forged");
+    co_return faultyRequestResult(
+        http::status::bad_request, "key_forged",
+        "this host did not issue the key; fetch one from POST /v1/keys");
+  case BeginVerdict::Expired:
+    log(Call, "not_run", "key_expired");
+    co_return withNextKey(
+        Call, notRunResult("key_expired", "the key was not used in time and "
+                                          "its request was not run; send the "
+                                          "request again under the next key"));
+  case BeginVerdict::NotThisIncarnation:
+    co_return co_await relay(Call, Key);
+  case BeginVerdict::Busy:
+    break;
+  }
+  // The key stays usable, so a copy of the request that is still on its way
+  // may run; the caller must not be told that it was not run.
+  log(Call, "unknown", "too_many_calls");
+  co_return unknownResult("too_many_calls",
+                          "this host has too many calls in flight; send the "
+                          "request again under the same key");
+}
+
+Awaitable<CallResult> KeyedCalls::askWitness(KeyedCall &Call,
+                                             const IdempotencyKey &Key) {
+  const auto Entry = std::make_shared<InFlight>(Environment.Context);
+  Running.emplace(Key.Sequence, Entry);
+  GrantDecision Decision;
+  const auto Address = Directory.Find(*Key.Witness);
+  const TimePoint Now = Environment.TimeSource.now();
+  if (!Address || Call.Refusal) {
+    Decision = recordGrantTimeout(Issuer, Key, Now);
+  } else {
+    wire::GrantRequest Request;
+    Request.__set_key(Call.KeyText);
+    Request.__set_fingerprint(static_cast<std::int64_t>(Call.Fingerprint));
+    wire::PeerBody Body;
+    Body.__set_grant_request(Request);
+    const TimePoint Limit = std::min(Call.Deadline, Now + GrantTime);
+    const auto Reply =
+        co_await Mesh.request(Address->Peer, std::move(Body), Limit);
+    const TimePoint Arrival = Environment.TimeSource.now();
+    if (Reply && Reply.value().__isset.grant_reply)
+      Decision = recordGrantReply(
+          Issuer, Key,
+          static_cast<GrantVerdict>(Reply.value().grant_reply.verdict),
+          Arrival);
+    else
+      Decision = recordGrantTimeout(Issuer, Key, Arrival);
+  }
+  if (Decision.Step == GrantStep::Run)
+    co_return co_await runGranted(Call, Key);
+  log(Call, "not_run", Decision.Stored->Reason);
+  notifyWitness(Key, Decision.Stored);
+  wakeJoined(Key);
+  if (Call.Refusal)
+    co_return withNextKey(Call, std::move(*Call.Refusal));
+  co_return withNextKey(Call, fromStored(*Decision.Stored));
+}
+
+Awaitable<CallResult> KeyedCalls::runGranted(KeyedCall &Call,
+                                             const IdempotencyKey &Key) {
+  if (!Running.contains(Key.Sequence))
+    Running.emplace(Key.Sequence,
+                    std::make_shared<InFlight>(Environment.Context));
+  CallResult Result;
+  if (Call.Refusal) {
+    Result = std::move(*Call.Refusal);
+  } else {
+    AttemptHooks Hooks;
+    Hooks.MayBegin = [this, Key, Deadline = Call.Deadline] {
+      return beginAttempt(Issuer, Key, Deadline,
+                          Environment.TimeSource.now());
+    };
+    Hooks.ProvedNotRun = [this, Key] { recordAttemptNotRun(Issuer, Key); };
+    Result = co_await Call.Run(std::move(Hooks));
+  }
+  const SharedOutcome Stored = finishCall(Issuer, Key, toStored(Result),
+                                          Environment.TimeSource.now());
+  notifyWitness(Key, Stored);
+  wakeJoined(Key);
+  if (Result.Kind == Outcome::NotRun &&
+      Stored->Outcome != CallOutcome::NotRun)
+    co_return fromStored(*Stored);
+  co_return withNextKey(Call, std::move(Result));
+}
+
+Awaitable<CallResult> KeyedCalls::join(const KeyedCall &Call,
+                                       const IdempotencyKey &Key) {
+  log(Call, "join", "in_flight");
+  const auto Position = Running.find(Key.Sequence);
+  if (Position != Running.end()) {
+    const auto Entry = Position->second;
+    Timer Limit(Environment.Context);
+    Limit.expires_at(Call.Deadline);
+    // The shared timer ends the wait when the call ends; the own one when the
+    // time of this caller is up.
+    Limit.async_wait([Weak = std::weak_ptr(Entry)](const auto &Code) {
+      if (const auto Waiting = Weak.lock(); Waiting && !Code)
+        Waiting->Done.cancel();
+    });
+    while (Running.contains(Key.Sequence) &&
+           Environment.TimeSource.now() < Call.Deadline)
+      co_await Entry->Done.async_wait(UseTuple);
+  }
+  const BeginDecision Decision = beginCall(Issuer, Key, Call.Fingerprint,
+                                           Environment.TimeSource.now());
+  if (Decision.Verdict == BeginVerdict::Replay)
+    co_return withNextKey(Call, fromStored(*Decision.Stored));
+  co_return unknownResult("in_flight",
+                          "the request is still running; send it again under "
+                          "the same key to receive its answer");
+}
+
+Awaitable<CallResult> KeyedCalls::relay(KeyedCall &Call,
+                                        const IdempotencyKey &Key) {
+  if (Call.IsRelayed)
+    co_return faultyRequestResult(http::status::misdirected_request,
+                                  "other_incarnation",
+                                  "the process that issued the key is gone");
+  const auto Address = Directory.Find(Key.Issuer);
+  IssuerResult Result = IssuerResult::OtherIncarnation;
+  if (Address) {
+    const TimePoint Now = Environment.TimeSource.now();
+    TimePoint Limit = Call.Deadline - SealReserve;
+    if (!Address->IsAlive)
+      Limit = std::min(Limit, Now + SilentIssuerTime);
+    HttpRequest Request = Call.Original;
+    Request.set(header::Relayed, "1");
+    Request.set(
+        header::TimeoutMilliseconds,
+        std::to_string(std::max<std::int64_t>(
+            1, std::chrono::duration_cast<std::chrono::milliseconds>(Limit -
+                                                                     Now)
+                   .count())));
+    log(Call, "relay", Key.Issuer.Host.Value);
+    auto Connection = co_await Environment.Pool.acquire(Address->Caller, Limit);
+    if (!Connection) {
+      Result = IssuerResult::Unreachable;
+    } else {
+      auto Response = co_await Connection.value()->exchange(
+          Request, Environment.TargetLimits, Limit);
+      if (Response) {
+        Environment.Pool.release(Address->Caller,
+                                 std::move(Connection.value()));
+        Result = isRelayRefusal(Response.value())
+                     ? IssuerResult::OtherIncarnation
+                     : IssuerResult::Answered;
+      } else {
+        Result = IssuerResult::TimedOut;
+      }
+      if (Result == IssuerResult::Answered)
+        co_return relayedResult(std::move(Response.value()));
+    }
+  }
+  if (decideAfterIssuer(Key, Result) == RelayStep::AskWitness)
+    co_return co_await sealAtWitness(Call, Key);
+  log(Call, "unknown", "no_witness");
+  co_return unknownResult("issuer_unreachable",
+                          "the host that issued the key does not answer and "
+                          "the key has no witness; look up the effect of the "
+                          "request");
+}
+
+Awaitable<CallResult> KeyedCalls::sealAtWitness(const KeyedCall &Call,
+                                                const IdempotencyKey &Key) {
+  std::optional<SealReply> Reply;
+  if (*Key.Witness == Witness.Self) {
+    Reply = sealKey(Witness, Key, Environment.TimeSource.now());
+  } else if (const auto Address = Directory.Find(*Key.Witness)) {
+    wire::SealRequest Request;
+    Request.__set_key(Call.KeyText);
+    wire::PeerBody Body;
+    Body.__set_seal_request(Request);
+    const TimePoint Limit = Environment.TimeSource.now() + SealTime;
+    const auto Received = co_await Mesh.request(
+        Address->Peer, std::move(Body), std::min(Call.Deadline, Limit));
+    if (Received && Received.value().__isset.seal_reply) {
+      auto Converted = fromWire(Received.value().seal_reply);
+      if (Converted)
+        Reply = std::move(Converted.value());
+    }
+  }
+  const RelayDecision Decision =
+      decideAfterWitness(Reply ? &*Reply : nullptr, Call.Fingerprint);
+  log(Call, "seal", Decision.Reason);
+  if (Decision.Conflict)
+    co_return faultyRequestResult(
+        http::status::conflict, Decision.Reason,
+        "the key belongs to another request; fetch a new key from POST "
+        "/v1/keys for this one");
+  if (Decision.Forged)
+    co_return faultyRequestResult(
+        http::status::bad_request, Decision.Reason,
+        "no host issued the key; fetch one from POST /v1/keys");
+  if (Decision.Stored)
+    co_return withNextKey(Call, fromStored(*Decision.Stored));
+  StoredOutcome Bare;
+  Bare.Outcome = Decision.Outcome;
+  Bare.Reason = Decision.Reason;
+  co_return withNextKey(Call, fromStored(Bare));
+}
+
+CallResult KeyedCalls::withNextKey(const KeyedCall &Call, CallResult Result) {
+  if (Result.Kind == Outcome::NotRun)
+    Result.NextKey = issue(Call.Placement);
+  return Result;
+}
+
+void KeyedCalls::notifyWitness(const IdempotencyKey &Key,
+                               const SharedOutcome &Stored) {
+  if (!Key.Witness || !Stored)
+    return;
+  const auto Address = Directory.Find(*Key.Witness);
+  if (!Address)
+    return;
+  wire::OutcomeNotice Notice;
+  Notice.__set_key(formatKey(Key));
+  Notice.__set_stored(toWire(*sendableOutcome(Issuer, Stored)));
+  wire::PeerBody Body;
+  Body.__set_outcome_notice(Notice);
+  // A notice that is lost costs a caller an "unknown" at the worst.
+  const auto Sent = Mesh.send(Address->Peer, Body);
+  if (!Sent)
+    ++Environment.Figures.counter("outcome_notices_dropped_total");
+}
+
+void KeyedCalls::wakeJoined(const IdempotencyKey &Key) {
+  const auto Position = Running.find(Key.Sequence);
+  if (Position == Running.end())
+    return;
+  const auto Entry = Position->second;
+  Running.erase(Position);
+  Entry->Done.cancel();
+}
+
+wire::PeerBody
+KeyedCalls::onGrantRequest(const wire::GrantRequest &Message) {
+  wire::PeerBody Body;
+  const auto Key = parseKey(Message.key);
+  if (!Key) {
+    wire::ErrorReply Reply;
+    Reply.__set_message(Key.error().Message);
+    Body.__set_error(Reply);
+    return Body;
+  }
+  const GrantVerdict Verdict = recordGrant(
+      Witness, Key.value(), static_cast<std::uint64_t>(Message.fingerprint),
+      Environment.TimeSource.now());
+  wire::GrantReply Reply;
+  Reply.__set_verdict(
+      static_cast<wire::GrantVerdict::type>(static_cast<int>(Verdict)));
+  Body.__set_grant_reply(Reply);
+  return Body;
+}
+
+wire::PeerBody KeyedCalls::onSealRequest(const wire::SealRequest &Message) {
+  wire::PeerBody Body;
+  const auto Key = parseKey(Message.key);
+  if (!Key) {
+    wire::ErrorReply Reply;
+    Reply.__set_message(Key.error().Message);
+    Body.__set_error(Reply);
+    return Body;
+  }
+  const SealReply Result =
+      sealKey(Witness, Key.value(), Environment.TimeSource.now());
+  wire::SealReply Reply;
+  Reply.__set_verdict(
+      static_cast<wire::SealVerdict::type>(static_cast<int>(Result.Verdict)));
+  if (Result.Stored)
+    Reply.__set_stored(toWire(*Result.Stored));
+  Body.__set_seal_reply(Reply);
+  return Body;
+}
+
+void KeyedCalls::onOutcomeNotice(const wire::OutcomeNotice &Message) {
+  const auto Key = parseKey(Message.key);
+  auto Stored = comfreyrill::fromWire(Message.stored);
+  if (!Key || !Stored) {
+    ++Environment.Figures.counter("peer_messages_invalid_total");
+    return;
+  }
+  const NoticeVerdict Verdict =
+      recordOutcome(Witness, Key.value(), std::move(Stored.value()),
+                    Environment.TimeSource.now());
+  if (Verdict == NoticeVerdict::Contradiction) {
+    LogLine Line("sealed_key_ran");
+    Line.field("key", Message.key)
+        .field("remedy", "report this as a defect with the logs of all hosts");
+    Environment.Decisions.warn(Line);
+    ++Environment.Figures.counter("sealed_keys_ran_total");
+  }
+}
+
+void KeyedCalls::onSecret(HostIncarnation Sender, std::string_view Secret) {
+  learnIssuer(Witness, Sender, Secret);
+}
+
+void KeyedCalls::dropAged() {
+  const TimePoint Now = Environment.TimeSource.now();
+  dropAgedRecords(Issuer, Now);
+  dropAgedRecords(Witness, Now);
+}
+
+void KeyedCalls::log(const KeyedCall &Call, std::string_view Step,
+                     std::string_view Reason) const {
+  LogLine Line("key");
+  Line.field("request", Call.Id.Value)
+      .field("service", Call.Service.Value)
+      .field("key", Call.KeyText)
+      .field("decision", Step)
+      .field("reason", Reason);
+  Environment.Decisions.write(Line);
+}
+
+} // namespace comfreyrill
