LibRouting: Choose by estimated load and bound extra attempts

Cause: the plain two-choices policy ignores what targets report, and nothing limited retries, hedges, probes or waiting calls.

Change: Routing.h keeps its functions and gains recordCall, recordDraining, recordPeerLoad, forgetPeer, mayRetry, hedgeDelay, mayHedge, mayProbe and admitToQueue.

--- /dev/null
+++ b/Libraries/LibRouting/Probe.cpp
@@ -0,0 +1,59 @@
+#include <LibRouting/Probe.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace comfreyrill {
+
+namespace {
+
+// A small store keeps probes close to the calls that paid for them.
+constexpr double AllowanceMaximum = 2;
+
+// The allowance is a sum of fractions; rounding up must never add a probe.
+constexpr double RoundingTolerance = 1e-9;
+
+// Longest interval that is computed, so that a tiny rate cannot overflow.
+constexpr double IntervalMaximumSeconds = 86400;
+
+Duration probeInterval(const MeasuringPolicy &Policy,
+                       std::uint32_t HostsMaximum) {
+  const double Seconds =
+      std::min(HostsMaximum / Policy.ProbesPerSecond, IntervalMaximumSeconds);
+  return std::chrono::ceil<Duration>(std::chrono::duration<double>(Seconds));
+}
+
+} // namespace
+
+void earnProbe(ProbeBudget &Budget, const MeasuringPolicy &Policy,
+               TimePoint /*Now*/) {
+  ++Budget.Calls;
+  Budget.Allowance = std::min(
+      Budget.Allowance + Policy.ProbesPerHundredCalls / 100, AllowanceMaximum);
+}
+
+// The interval between two probes, rather than a bucket that fills, bounds the
+// rate: a host that was paused or replaced has nothing saved up, so any number
+// of hosts up to the maximum stays below the rate of the fleet.
+bool canProbe(ProbeBudget &Budget, const MeasuringPolicy &Policy,
+              std::uint32_t HostsMaximum, TimePoint Now) {
+  if (Policy.ProbesPerSecond <= 0 || Policy.ProbesPerHundredCalls <= 0 ||
+      HostsMaximum == 0)
+    return false;
+  const Duration Interval = probeInterval(Policy, HostsMaximum);
+  if (!Budget.Started) {
+    Budget.Started = true;
+    Budget.NextProbe = Now + Interval;
+    return false;
+  }
+  return Now >= Budget.NextProbe && Budget.Allowance >= 1 + RoundingTolerance;
+}
+
+void spendProbe(ProbeBudget &Budget, const MeasuringPolicy &Policy,
+                std::uint32_t HostsMaximum, TimePoint Now) {
+  Budget.Allowance -= 1;
+  Budget.NextProbe = Now + probeInterval(Policy, HostsMaximum);
+  ++Budget.Probes;
+}
+
+} // namespace comfreyrill
--- /dev/null
+++ b/Libraries/LibRouting/Queue.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <LibCore/Clock.h>
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace comfreyrill {
+
+/// A call that waits for a slot. The ticket is the caller's own number.
+struct WaitingCall {
+  std::uint64_t Ticket = 0;
+  TimePoint Deadline;
+  TimePoint Since;
+};
+
+/// Calls of one service that wait on one host, in order of arrival.
+struct WaitQueue {
+  std::vector<WaitingCall> Calls;
+  /// Mean time between two calls that end on this host.
+  double FinishIntervalSeconds = 0;
+  TimePoint LastFinish;
+  bool HasFinish = false;
+};
+
+enum class Admission { Admitted, QueueFull, DeadlineTooClose };
+
+/// Counts the end of an attempt, from which the wait is predicted.
+void countFinish(WaitQueue &Queue, TimePoint Now);
+
+/// Time that a call which joins now is expected to wait.
+Duration expectedWait(const WaitQueue &Queue);
+
+/// Joins the queue, or says why not. Refused calls were not run.
+Admission joinQueue(WaitQueue &Queue, const WaitingCall &Call,
+                    std::uint32_t Length, Duration AnswerTime, TimePoint Now);
+
+/// The first call in line, which stays there; none when nobody waits.
+std::optional<std::uint64_t> headOfQueue(const WaitQueue &Queue);
+
+/// Takes a call out, because it was dispatched, refused or cancelled.
+void leaveQueue(WaitQueue &Queue, std::uint64_t Ticket);
+
+/// Takes out the calls that cannot be answered in time any more.
+std::vector<std::uint64_t> takeExpired(WaitQueue &Queue, Duration AnswerTime,
+                                       TimePoint Now);
+
+} // namespace comfreyrill
--- a/Libraries/LibRouting/Routing.cpp
+++ b/Libraries/LibRouting/Routing.cpp
@@ -1,11 +1,78 @@
 #include <LibRouting/Routing.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace comfreyrill {
 
+namespace {
+
+constexpr std::size_t RecentReportsMaximum = 4;
+
+// The mean follows a few rounds of reports.
+constexpr double MeanOthersWeight = 1.0 / 64;
+
+// An attempt that is younger may not have reached the target when it wrote its
+// report; connecting takes about 1 ms and the way 0.5 ms.
+constexpr Duration SettleTime = std::chrono::milliseconds(5);
+
+// Knowledge that is younger needs no probe.
+constexpr Duration ReportAgeForProbe = std::chrono::milliseconds(200);
+
+// Half of the targets may be ejected: with more, those that remain would fail
+// under the load of the others.
+bool mayEjectAnother(const RoutingState &State) {
+  const auto Ejected = std::count_if(
+      State.Targets.begin(), State.Targets.end(),
+      [](const TargetState &Target) { return Target.Outlier.Ejected; });
+  return (static_cast<std::size_t>(Ejected) + 1) * 2 <= State.Targets.size();
+}
+
+void startRamp(TargetState &Target, TimePoint Now) {
+  Target.Ramping = true;
+  Target.RampSince = Now;
+}
+
+std::uint32_t settledInFlight(const TargetState &Target, TimePoint Now) {
+  return static_cast<std::uint32_t>(
+      std::count_if(Target.Starts.begin(), Target.Starts.end(),
+                    [&](TimePoint Start) { return Now - Start > SettleTime; }));
+}
+
+void removeStart(TargetState &Target, TimePoint Start) {
+  if (Target.Starts.empty())
+    return;
+  auto Nearest = std::min_element(Target.Starts.begin(), Target.Starts.end(),
+                                  [&](TimePoint Left, TimePoint Right) {
+                                    return std::chrono::abs(Left - Start) <
+                                           std::chrono::abs(Right - Start);
+                                  });
+  *Nearest = Target.Starts.back();
+  Target.Starts.pop_back();
+}
+
+void noteRecent(RoutingState &State, TargetIndex Target) {
+  auto &Recent = State.RecentReports;
+  if (std::find(Recent.begin(), Recent.end(), Target) != Recent.end())
+    return;
+  if (Recent.size() < RecentReportsMaximum) {
+    Recent.push_back(Target);
+    return;
+  }
+  Recent[State.NextRecentReport] = Target;
+  State.NextRecentReport = (State.NextRecentReport + 1) % RecentReportsMaximum;
+}
+
+void subtractPeer(RoutingState &State, const PeerState &Peer) {
+  for (std::size_t Index = 0; Index < Peer.InFlight.size(); ++Index)
+    State.Targets[Index].PeerInFlight -= Peer.InFlight[Index];
+}
+
+} // namespace
+
 void updateTargets(RoutingState &State, const ServiceConfig &Config,
-                   TimePoint /*Now*/) {
+                   TimePoint Now) {
+  const bool IsFirst = State.Targets.empty();
   std::vector<TargetState> Next;
   Next.reserve(Config.Targets.size());
   for (const TargetConfig &Target : Config.Targets) {
@@ -16,44 +83,169 @@
     TargetState Entry;
     if (Known != State.Targets.end())
       Entry = *Known;
+    else if (!IsFirst)
+      startRamp(Entry, Now);
+    // Peers count by position, which may have changed.
+    Entry.PeerInFlight = 0;
     Entry.Config = Target;
     Next.push_back(std::move(Entry));
   }
   State.Config = Config;
   State.Targets = std::move(Next);
+  State.Peers.clear();
+  State.RecentReports.clear();
+  State.NextRecentReport = 0;
 }
 
-// FIXME: The load that targets report and the time they take are not used yet.
-Choice chooseTarget(RoutingState &State, const ChoiceInput &Input,
-                    TimePoint /*Now*/, Random &Generator) {
-  std::vector<TargetIndex> Usable;
-  for (TargetIndex Index = 0; Index < State.Targets.size(); ++Index) {
-    const bool WasTried = std::find(Input.Tried.begin(), Input.Tried.end(),
-                                    Index) != Input.Tried.end();
-    if (!State.Targets[Index].Draining && !WasTried)
-      Usable.push_back(Index);
-  }
-  if (Usable.empty())
-    return {ChoiceKind::Refuse, 0, "no_target"};
-  const TargetIndex First = Usable[randomIndex(Generator, Usable.size())];
-  const TargetIndex Second = Usable[randomIndex(Generator, Usable.size())];
-  const bool FirstIsBetter =
-      State.Targets[First].InFlight <= State.Targets[Second].InFlight;
-  return {ChoiceKind::Dispatch, FirstIsBetter ? First : Second, "two_choices"};
+void setHostsMaximum(RoutingState &State, std::uint32_t HostsMaximum) {
+  State.HostsMaximum = HostsMaximum;
 }
 
-void recordStart(RoutingState &State, TargetIndex Target, TimePoint /*Now*/) {
+void recordCall(RoutingState &State, TimePoint Now) {
+  earn(State.Retries, State.Config.Retry.BudgetRatio);
+  if (State.Config.Hedge.Enabled)
+    earn(State.Hedges, State.Config.Hedge.BudgetRatio);
+  earnProbe(State.Probes, State.Config.Measuring, Now);
+}
+
+void recordStart(RoutingState &State, TargetIndex Target, TimePoint Now) {
   ++State.Targets[Target].InFlight;
+  State.Targets[Target].Starts.push_back(Now);
 }
 
 void recordFinish(RoutingState &State, const AttemptResult &Result,
-                  TimePoint /*Now*/) {
-  --State.Targets[Result.Target].InFlight;
+                  TimePoint Now) {
+  TargetState &Target = State.Targets[Result.Target];
+  if (Target.InFlight > 0)
+    --Target.InFlight;
+  removeStart(Target, Now - Result.Elapsed);
+  const double Quantile = State.Config.Hedge.Quantile;
+  switch (Result.End) {
+  case AttemptEnd::Answered:
+    countFinish(State.Queue, Now);
+    countSuccess(Target.Outlier);
+    recordAnswerTime(Target.Speed, State.Answers, Result.Elapsed, Quantile);
+    return;
+  case AttemptEnd::Cancelled:
+    recordCancelledTime(State.Answers, Result.Elapsed, Quantile);
+    return;
+  case AttemptEnd::Shed:
+    return;
+  case AttemptEnd::Failed:
+  case AttemptEnd::ConnectionFailed:
+    if (countFailure(Target.Outlier,
+                     Result.End == AttemptEnd::ConnectionFailed) &&
+        !Target.Outlier.Ejected && mayEjectAnother(State))
+      eject(Target.Outlier, Now);
+    return;
+  }
+}
+
+void recordLoadReport(RoutingState &State, TargetIndex Index,
+                      const LoadReport &Report, TimePoint Now) {
+  TargetState &Target = State.Targets[Index];
+  recordDraining(State, Index, Report.Draining, Now);
+  const std::uint32_t Reported = Report.InFlight + Report.Queued;
+  const std::uint32_t Settled = settledInFlight(Target, Now);
+  if (!judgeReport(Target.Trust, Reported<Settled, Settled> 0, Now)) {
+    Target.HasReport = false;
+    return;
+  }
+  Target.OthersAtReport =
+      Reported > Target.InFlight ? Reported - Target.InFlight : 0;
+  Target.ReportedAt = Now;
+  Target.HasReport = true;
+  const double PerSlot =
+      Target.OthersAtReport / std::max(Target.Config.Slots, 1U);
+  State.MeanOthersPerSlot += (State.HasMeanOthers ? MeanOthersWeight : 1) *
+                             (PerSlot - State.MeanOthersPerSlot);
+  State.HasMeanOthers = true;
+  noteRecent(State, Index);
+}
+
+void recordDraining(RoutingState &State, TargetIndex Index, bool Draining,
+                    TimePoint Now) {
+  TargetState &Target = State.Targets[Index];
+  if (Target.Draining && !Draining)
+    startRamp(Target, Now);
+  Target.Draining = Draining;
+}
+
+void recordPeerLoad(RoutingState &State, const HostId &Host,
+                    const std::vector<PeerTargetLoad> &Loads, TimePoint Now) {
+  forgetPeer(State, Host);
+  PeerState Peer{Host, Now, std::vector<std::uint32_t>(State.Targets.size())};
+  for (const PeerTargetLoad &Load : Loads)
+    if (Load.Target < Peer.InFlight.size())
+      Peer.InFlight[Load.Target] = Load.InFlight;
+  for (std::size_t Index = 0; Index < Peer.InFlight.size(); ++Index)
+    State.Targets[Index].PeerInFlight += Peer.InFlight[Index];
+  State.Peers.push_back(std::move(Peer));
+}
+
+void forgetPeer(RoutingState &State, const HostId &Host) {
+  auto Known = std::find_if(
+      State.Peers.begin(), State.Peers.end(),
+      [&](const PeerState &Candidate) { return Candidate.Host == Host; });
+  if (Known == State.Peers.end())
+    return;
+  subtractPeer(State, *Known);
+  State.Peers.erase(Known);
+}
+
+// A nested call that retried on mere failure would multiply the attempts of all
+// levels above it, so only proof that nothing ran permits a retry there.
+bool mayRetry(RoutingState &State, const RetryInput &Input, TimePoint Now) {
+  if (Input.Attempts >= State.Config.Retry.MaxAttempts || Now >= Input.Deadline)
+    return false;
+  if (!Input.ProvedNotRun && (!Input.Idempotent || Input.Depth > 1))
+    return false;
+  return spend(State.Retries);
+}
+
+Duration hedgeDelay(const RoutingState &State) {
+  const auto Delay = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(State.Answers.HedgeQuantileSeconds));
+  return std::max(Delay, State.Config.Hedge.MinimumDelay);
+}
+
+bool mayHedge(RoutingState &State, const HedgeInput &Input, TimePoint Now) {
+  if (!State.Config.Hedge.Enabled || !Input.Idempotent || Input.Depth > 1 ||
+      Now >= Input.Deadline || State.Answers.Samples == 0)
+    return false;
+  return spend(State.Hedges);
+}
+
+// Targets that get no calls come first, because nothing else tells of them;
+// then the one of which the last news is oldest.
+std::optional<TargetIndex> mayProbe(RoutingState &State, TimePoint Now) {
+  if (!canProbe(State.Probes, State.Config.Measuring, State.HostsMaximum, Now))
+    return std::nullopt;
+  std::optional<TargetIndex> Oldest;
+  TimePoint OldestNews = Now - ReportAgeForProbe;
+  for (TargetIndex Index = 0; Index < State.Targets.size(); ++Index) {
+    const TargetState &Target = State.Targets[Index];
+    TimePoint News = Target.ProbedAt;
+    if (Target.HasReport && !Target.Draining)
+      News = std::max(News, Target.ReportedAt);
+    if (News < OldestNews) {
+      Oldest = Index;
+      OldestNews = News;
+    }
+  }
+  if (!Oldest)
+    return std::nullopt;
+  spendProbe(State.Probes, State.Config.Measuring, State.HostsMaximum, Now);
+  State.Targets[*Oldest].ProbedAt = Now;
+  return Oldest;
 }
 
-void recordLoadReport(RoutingState &State, TargetIndex Target,
-                      const LoadReport &Report, TimePoint /*Now*/) {
-  State.Targets[Target].Draining = Report.Draining;
+Admission admitToQueue(RoutingState &State, std::uint64_t Ticket,
+                       TimePoint Deadline, TimePoint Now) {
+  const auto Answer = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(State.Answers.MeanSeconds));
+  return joinQueue(State.Queue, {Ticket, Deadline, Now},
+                   State.Config.QueueLength, Answer, Now);
 }
 
 } // namespace comfreyrill
--- a/Libraries/LibRouting/Routing.h
+++ b/Libraries/LibRouting/Routing.h
@@ -1,73 +1,24 @@
 #pragma once
 
-#include <LibCore/Clock.h>
-#include <LibCore/Ids.h>
-#include <LibCore/Random.h>
-#include <LibManifest/Manifest.h>
+#include <LibRouting/Choice.h>
+#include <LibRouting/RoutingState.h>
 
 #include <cstdint>
-#include <string_view>
+#include <optional>
 #include <vector>
 
 namespace comfreyrill {
 
-/// Position of a target in the service's list in RoutingState.
-using TargetIndex = std::uint32_t;
-
-/// Load that a target states in an answer or a probe.
-struct LoadReport {
-  std::uint32_t InFlight = 0;
-  std::uint32_t Slots = 0;
-  std::uint32_t Queued = 0;
-  bool Draining = false;
-};
-
-/// How an attempt ended, as far as routing is concerned.
-enum class AttemptEnd { Answered, Failed, Shed, ConnectionFailed, Cancelled };
-
-/// Routing state of one target, as one host sees it.
-struct TargetState {
-  TargetConfig Config;
-  std::uint32_t InFlight = 0;
-  bool Draining = false;
-};
-
-/// Routing state of one service on one host.
-struct RoutingState {
-  ServiceConfig Config;
-  std::vector<TargetState> Targets;
-};
-
-/// What is known of the call for which a target is wanted.
-struct ChoiceInput {
-  FailureDomain HostDomain;
-  TimePoint Deadline;
-  /// Targets that this call has tried already.
-  std::vector<TargetIndex> Tried;
-};
-
-enum class ChoiceKind { Dispatch, Wait, Refuse };
-
-struct Choice {
-  ChoiceKind Kind = ChoiceKind::Refuse;
-  TargetIndex Target = 0;
-  /// Why, as written to the decision log, for example "no_target".
-  std::string_view Reason;
-};
-
-struct AttemptResult {
-  TargetIndex Target = 0;
-  AttemptEnd End = AttemptEnd::Answered;
-  Duration Elapsed{0};
-};
-
 /// Takes over a new configuration; state of targets that remain is kept.
 void updateTargets(RoutingState &State, const ServiceConfig &Config,
                    TimePoint Now);
 
-/// Picks a target, or says that the call waits or is refused.
-Choice chooseTarget(RoutingState &State, const ChoiceInput &Input,
-                    TimePoint Now, Random &Generator);
+/// Sets the number by which limits of the fleet are divided.
+void setHostsMaximum(RoutingState &State, std::uint32_t HostsMaximum);
+
+/// Counts a call that this host handles, once and before its first attempt.
+/// Calls earn the retry, hedge and measuring budgets.
+void recordCall(RoutingState &State, TimePoint Now);
 
 /// Counts an attempt that is about to be sent.
 void recordStart(RoutingState &State, TargetIndex Target, TimePoint Now);
@@ -76,8 +27,58 @@
 void recordFinish(RoutingState &State, const AttemptResult &Result,
                   TimePoint Now);
 
-/// Takes account of a load that the target stated.
+/// Takes account of a load that the target stated. Follows recordFinish when an
+/// answer carried it.
 void recordLoadReport(RoutingState &State, TargetIndex Target,
                       const LoadReport &Report, TimePoint Now);
 
+/// Marks a target as leaving, or as back, on other grounds than its own report.
+void recordDraining(RoutingState &State, TargetIndex Target, bool Draining,
+                    TimePoint Now);
+
+/// Takes the in-flight counts of another host in place of its earlier ones.
+/// Targets that are not listed count as idle.
+void recordPeerLoad(RoutingState &State, const HostId &Peer,
+                    const std::vector<PeerTargetLoad> &Loads, TimePoint Now);
+
+/// Drops the counts of a host that is lost.
+void forgetPeer(RoutingState &State, const HostId &Peer);
+
+/// What is known of an attempt that did not bring an answer.
+struct RetryInput {
+  /// Attempts of this call so far, hedges included.
+  std::uint32_t Attempts = 1;
+  /// Nesting level of the call; 1 for a call from outside.
+  std::uint32_t Depth = 1;
+  bool Idempotent = false;
+  /// There is proof that the attempt did not run.
+  bool ProvedNotRun = false;
+  TimePoint Deadline;
+};
+
+/// Permits another attempt and takes it from the retry budget.
+bool mayRetry(RoutingState &State, const RetryInput &Input, TimePoint Now);
+
+/// Time after the start of an attempt at which a hedge may start.
+Duration hedgeDelay(const RoutingState &State);
+
+/// What is known of the call that would be hedged.
+struct HedgeInput {
+  std::uint32_t Depth = 1;
+  bool Idempotent = false;
+  TimePoint Deadline;
+};
+
+/// Permits a hedge and takes it from the hedge budget.
+bool mayHedge(RoutingState &State, const HedgeInput &Input, TimePoint Now);
+
+/// The target to probe now, taken from the measuring budget; none when the
+/// budget or the state of knowledge does not call for one. The result of a
+/// probe goes to recordLoadReport.
+std::optional<TargetIndex> mayProbe(RoutingState &State, TimePoint Now);
+
+/// Joins the queue of the service, or says why the call is refused.
+Admission admitToQueue(RoutingState &State, std::uint64_t Ticket,
+                       TimePoint Deadline, TimePoint Now);
+
 } // namespace comfreyrill
--- /dev/null
+++ b/Libraries/LibRouting/RoutingState.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include <LibCore/Clock.h>
+#include <LibCore/Ids.h>
+#include <LibCore/Random.h>
+#include <LibManifest/Manifest.h>
+#include <LibRouting/Budget.h>
+#include <LibRouting/Outlier.h>
+#include <LibRouting/Probe.h>
+#include <LibRouting/Queue.h>
+#include <LibRouting/Speed.h>
+
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+namespace comfreyrill {
+
+/// Position of a target in the service's list in RoutingState.
+using TargetIndex = std::uint32_t;
+
+/// Load that a target states in an answer or a probe. The answered request
+/// itself is not counted.
+struct LoadReport {
+  std::uint32_t InFlight = 0;
+  std::uint32_t Slots = 0;
+  std::uint32_t Queued = 0;
+  bool Draining = false;
+};
+
+/// How an attempt ended, as far as routing is concerned.
+enum class AttemptEnd { Answered, Failed, Shed, ConnectionFailed, Cancelled };
+
+/// Calls that another host has in flight at one target.
+struct PeerTargetLoad {
+  TargetIndex Target = 0;
+  std::uint32_t InFlight = 0;
+};
+
+/// Last in-flight counts that one other host sent.
+struct PeerState {
+  HostId Host;
+  TimePoint At;
+  /// One entry for each target.
+  std::vector<std::uint32_t> InFlight;
+};
+
+/// Routing state of one target, as one host sees it.
+struct TargetState {
+  TargetConfig Config;
+  std::uint32_t InFlight = 0;
+  bool Draining = false;
+
+  /// When this host started the attempts that are still in flight.
+  std::vector<TimePoint> Starts;
+  /// Load of all other hosts at the time of the last trusted report.
+  double OthersAtReport = 0;
+  TimePoint ReportedAt;
+  bool HasReport = false;
+  /// Sum of the in-flight counts of peers.
+  std::uint32_t PeerInFlight = 0;
+  /// Weight ramps up from here after a start or an ejection.
+  TimePoint RampSince;
+  bool Ramping = false;
+
+  OutlierState Outlier;
+  TrustState Trust;
+  SpeedState Speed;
+  TimePoint ProbedAt;
+};
+
+/// Routing state of one service on one host.
+struct RoutingState {
+  ServiceConfig Config;
+  std::vector<TargetState> Targets;
+  /// Most hosts that run at a time; fleet-wide limits are divided by it.
+  std::uint32_t HostsMaximum = 20;
+
+  RatioBudget Retries;
+  RatioBudget Hedges;
+  ProbeBudget Probes;
+  AnswerTimes Answers;
+  WaitQueue Queue;
+  std::vector<PeerState> Peers;
+  /// Targets whose load became known last; the large services look at these
+  /// besides a random sample.
+  std::vector<TargetIndex> RecentReports;
+  std::size_t NextRecentReport = 0;
+  /// Mean of the load of other hosts, relative to the slots of a target.
+  double MeanOthersPerSlot = 0;
+  bool HasMeanOthers = false;
+};
+
+/// What is known of the call for which a target is wanted.
+struct ChoiceInput {
+  FailureDomain HostDomain;
+  TimePoint Deadline;
+  /// Targets that this call has tried already.
+  std::vector<TargetIndex> Tried;
+};
+
+enum class ChoiceKind { Dispatch, Wait, Refuse };
+
+struct Choice {
+  ChoiceKind Kind = ChoiceKind::Refuse;
+  TargetIndex Target = 0;
+  /// Why, as written to the decision log, for example "no_target".
+  std::string_view Reason;
+};
+
+struct AttemptResult {
+  TargetIndex Target = 0;
+  AttemptEnd End = AttemptEnd::Answered;
+  Duration Elapsed{0};
+};
+
+} // namespace comfreyrill
