--- a/Services/Daemon/CallExecution.cpp
+++ b/Services/Daemon/CallExecution.cpp
@@ -6,6 +6,10 @@
 
 namespace {
 
+// A waiting call looks again after this time even if no call has ended here,
+// because slots are also freed by the calls of other hosts.
+constexpr Duration WaitPollInterval = std::chrono::milliseconds(10);
+
 std::int64_t microseconds(Duration Value) {
   return std::chrono::duration_cast<std::chrono::microseconds>(Value).count();
 }
@@ -26,120 +30,236 @@
   return "failed";
 }
 
+std::string_view admissionReason(Admission Verdict) {
+  return Verdict == Admission::QueueFull ? "queue_full" : "deadline_too_close";
+}
+
 } // namespace
 
-CallExecution::CallExecution(ExecutionContext &Environment,
-                             std::shared_ptr<ServiceRuntime> Runtime,
-                             CallRequest Call, HttpRequest Request,
-                             RequestId Id, bool IsIdempotent,
-                             TimePoint Deadline, AttemptHooks Hooks)
-    : Environment(Environment), Runtime(std::move(Runtime)),
-      Call(std::move(Call)), Request(std::move(Request)), Id(std::move(Id)),
-      IsIdempotent(IsIdempotent), Deadline(Deadline), Hooks(std::move(Hooks)),
+CallExecution::CallExecution(const ExecutionContext &Environment,
+                             ExecutionInput Input)
+    : Environment(Environment), Input(std::move(Input)),
       Started(Environment.TimeSource.now()) {}
 
 void CallExecution::cancel() {
   CallerLeft = true;
-  if (Current)
-    Current->cancel();
-  Runtime->SlotFreed.cancel();
+  if (Primary)
+    Primary->Handle->cancel();
+  if (Hedge)
+    Hedge->Handle->cancel();
+  if (Waiting)
+    Waiting->cancel();
 }
 
 Awaitable<CallResult> CallExecution::run() {
   const auto Self = shared_from_this();
+  recordCall(Input.Runtime->Routing, Started);
   while (true) {
     const Choice Chosen = co_await chooseOrWait();
     if (Chosen.Kind != ChoiceKind::Dispatch)
       co_return refusal(Chosen.Reason);
-    if (Hooks.MayBegin && !Hooks.MayBegin())
+    if (Input.Hooks.MayBegin && !Input.Hooks.MayBegin())
       co_return refusal("deadline_passed");
-    const auto Handle = std::make_shared<AttemptHandle>();
-    AttemptReport Report = co_await attempt(Chosen.Target, Handle);
-    MayHaveRun = MayHaveRun || !Report.IsProvedNotRun;
-    if (Report.IsProvedNotRun && Hooks.ProvedNotRun)
-      Hooks.ProvedNotRun();
-    if (Report.End == AttemptEnd::Answered)
-      co_return answerResult(std::move(*Report.Answer), CurrentTarget);
+    Primary = startAttempt(Chosen.Target);
+    armHedge();
+    co_await runAttempt(Primary, Input.Request);
+    HedgeTimer.reset();
+
+    AttemptReport &Report = Primary->Report;
+    if (Report.End == AttemptEnd::Answered) {
+      if (Hedge)
+        Hedge->Handle->cancel();
+      co_return answerResult(std::move(*Report.Answer), Primary->Config.Id);
+    }
+    auto HedgeResult = co_await hedgeAnswer();
+    if (HedgeResult)
+      co_return std::move(*HedgeResult);
     if (mayTryAgain(Report)) {
-      ++Environment.Figures.service(Call.Service).Retries;
+      ++Environment.Figures.service(Input.Call.Service).Retries;
       continue;
     }
     if (Report.Answer)
-      co_return answerResult(std::move(*Report.Answer), CurrentTarget);
+      co_return answerResult(std::move(*Report.Answer), Primary->Config.Id);
     co_return failure(Report);
   }
 }
 
+Choice CallExecution::choose() {
+  const TimePoint Now = Environment.TimeSource.now();
+  if (CallerLeft)
+    return {ChoiceKind::Refuse, 0, "caller_left"};
+  if (Now >= Input.Deadline)
+    return {ChoiceKind::Refuse, 0, "deadline_passed"};
+  const ChoiceInput Known{Environment.HostDomain, Input.Deadline, Tried};
+  const Choice Chosen = chooseTarget(Input.Runtime->Routing, Known, Now,
+                                     Environment.Generator);
+  logChoice(Chosen, "route");
+  return Chosen;
+}
+
+// Calls that arrive while others wait join the queue, so that they do not
+// overtake.
 Awaitable<Choice> CallExecution::chooseOrWait() {
-  while (true) {
-    const TimePoint Now = Environment.TimeSource.now();
-    if (CallerLeft)
-      co_return Choice{ChoiceKind::Refuse, 0, "caller_left"};
-    if (Now >= Deadline)
-      co_return Choice{ChoiceKind::Refuse, 0, "deadline_passed"};
-    const ChoiceInput Input{Environment.HostDomain, Deadline, Tried};
-    const Choice Chosen =
-        chooseTarget(Runtime->Routing, Input, Now, Environment.Generator);
-    logChoice(Chosen);
+  ServiceRuntime &Runtime = *Input.Runtime;
+  if (!headOfQueue(Runtime.Routing.Queue)) {
+    const Choice Chosen = choose();
     if (Chosen.Kind != ChoiceKind::Wait)
       co_return Chosen;
-    if (Runtime->WaitingCalls >= Runtime->Routing.Config.QueueLength)
-      co_return Choice{ChoiceKind::Refuse, 0, "queue_full"};
-    ++Runtime->WaitingCalls;
-    if (Runtime->WaitingCalls == 1 || Deadline < Runtime->SlotFreed.expiry())
-      Runtime->SlotFreed.expires_at(Deadline);
-    co_await Runtime->SlotFreed.async_wait(UseTuple);
-    --Runtime->WaitingCalls;
   }
+  const std::uint64_t Ticket = ++Runtime.LastTicket;
+  const Admission Verdict = admitToQueue(
+      Runtime.Routing, Ticket, Input.Deadline, Environment.TimeSource.now());
+  if (Verdict != Admission::Admitted)
+    co_return Choice{ChoiceKind::Refuse, 0, admissionReason(Verdict)};
+
+  Timer Wake(Environment.Context);
+  Waiting = &Wake;
+  Runtime.Waiters.emplace(Ticket, &Wake);
+  Choice Chosen{ChoiceKind::Wait, 0, "queued"};
+  while (Chosen.Kind == ChoiceKind::Wait) {
+    Wake.expires_at(std::min(
+        Input.Deadline, Environment.TimeSource.now() + WaitPollInterval));
+    co_await Wake.async_wait(UseTuple);
+    const bool IsFirst = headOfQueue(Runtime.Routing.Queue) == Ticket;
+    if (IsFirst || CallerLeft ||
+        Environment.TimeSource.now() >= Input.Deadline)
+      Chosen = choose();
+  }
+  Waiting = nullptr;
+  Runtime.Waiters.erase(Ticket);
+  leaveQueue(Runtime.Routing.Queue, Ticket);
+  // More than one slot may be free.
+  wakeFirstWaiter(Runtime);
+  co_return Chosen;
+}
+
+std::shared_ptr<CallExecution::Attempt>
+CallExecution::startAttempt(TargetIndex Target) {
+  auto Current = std::make_shared<Attempt>();
+  Current->Number = ++Attempts;
+  Current->Target = Target;
+  Current->Config = Input.Runtime->Routing.Targets[Target].Config;
+  Tried.push_back(Target);
+  ++Environment.Figures.service(Input.Call.Service).Attempts;
+  recordStart(Input.Runtime->Routing, Target, Environment.TimeSource.now());
+  return Current;
 }
 
-Awaitable<AttemptReport>
-CallExecution::attempt(TargetIndex Chosen,
-                       std::shared_ptr<AttemptHandle> Handle) {
-  const TargetConfig Target = Runtime->Routing.Targets[Chosen].Config;
+Awaitable<void> CallExecution::runAttempt(std::shared_ptr<Attempt> Current,
+                                          HttpRequest &Sent) {
   const TimePoint Begin = Environment.TimeSource.now();
-  const auto Remaining =
-      std::chrono::duration_cast<std::chrono::milliseconds>(Deadline - Begin);
-  Request.set(header::DeadlineMilliseconds, std::to_string(Remaining.count()));
-  Request.set(http::field::host, formatEndpoint(Target.Address));
-
-  ++Attempts;
-  Tried.push_back(Chosen);
-  ++Environment.Figures.service(Call.Service).Attempts;
-  recordStart(Runtime->Routing, Chosen, Begin);
-  Current = Handle;
-  AttemptReport Report =
-      co_await sendToTarget(Environment.Pool, Target.Address, Request,
-                            Environment.TargetLimits, Deadline, Handle);
-  Current.reset();
-
-  const TimePoint End = Environment.TimeSource.now();
-  if (const auto Index = findTarget(Runtime->Routing, Chosen, Target.Id)) {
-    recordFinish(Runtime->Routing, {*Index, Report.End, End - Begin}, End);
-    if (Report.Load)
-      recordLoadReport(Runtime->Routing, *Index, *Report.Load, End);
+  const auto Remaining = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Input.Deadline - Begin);
+  // The request is not being written here: a retry begins after the exchange
+  // before it has ended, and a hedge has a copy of its own.
+  Sent.set(header::DeadlineMilliseconds, std::to_string(Remaining.count()));
+  Sent.set(http::field::host, formatEndpoint(Current->Config.Address));
+  Current->Report = co_await sendToTarget(
+      Environment.Pool, Current->Config.Address, Sent,
+      Environment.TargetLimits, Input.Deadline, Current->Handle);
+  Current->IsDone = true;
+  recordEnd(*Current, Begin, Environment.TimeSource.now());
+}
+
+void CallExecution::recordEnd(Attempt &Ended, TimePoint Begin, TimePoint End) {
+  AttemptReport &Report = Ended.Report;
+  RoutingState &Routing = Input.Runtime->Routing;
+  if (const auto Index = findTarget(Routing, Ended.Target, Ended.Config.Id)) {
+    recordFinish(Routing, {*Index, Report.End, End - Begin}, End);
+    if (Report.Load) {
+      Report.Load->Draining = Report.Load->Draining ||
+                              Environment.Services.isLeaving(
+                                  Ended.Config.Address);
+      recordLoadReport(Routing, *Index, *Report.Load, End);
+    }
   }
-  if (Runtime->WaitingCalls > 0)
-    Runtime->SlotFreed.cancel();
-  CurrentTarget = Target.Id;
-  if (Attempts == 1 && Report.End == AttemptEnd::Answered)
-    Environment.Figures.service(Call.Service)
-        .AddedTime.add((Begin - Started) +
-                       (Environment.TimeSource.now() - End));
-  logEnd(Target.Id, Report, End - Begin);
-  co_return Report;
-}
-
-// A call that was not started may be sent elsewhere whatever it does. One that
-// may have run is sent again only if it is idempotent and not nested, so that
-// each layer of nested calls does not multiply the attempts below it.
-bool CallExecution::mayTryAgain(const AttemptReport &Report) const {
-  if (CallerLeft || Environment.TimeSource.now() >= Deadline ||
-      Attempts >= Runtime->Routing.Config.Retry.MaxAttempts)
+  wakeFirstWaiter(*Input.Runtime);
+  if (Report.IsProvedNotRun && Input.Hooks.ProvedNotRun)
+    Input.Hooks.ProvedNotRun();
+  MayHaveRun = MayHaveRun || !Report.IsProvedNotRun;
+  if (Report.LooksLikeCrash && Input.OnCrash)
+    Input.OnCrash(Ended.Config.Id);
+  if (Ended.Number == 1 && Report.End == AttemptEnd::Answered)
+    Environment.Figures.service(Input.Call.Service)
+        .AddedTime.add(Begin - Started);
+  logEnd(Ended, End - Begin);
+}
+
+// Nested calls are not hedged: each level would multiply the attempts below.
+void CallExecution::armHedge() {
+  const HedgePolicy &Policy = Input.Runtime->Routing.Config.Hedge;
+  if (!Policy.Enabled || !Input.IsIdempotent || Input.Call.Depth > 1 || Hedge)
+    return;
+  const TimePoint Start = Environment.TimeSource.now() +
+                          hedgeDelay(Input.Runtime->Routing);
+  if (Start >= Input.Deadline)
+    return;
+  HedgeTimer.emplace(Environment.Context);
+  HedgeTimer->expires_at(Start);
+  HedgeTimer->async_wait([Weak = weak_from_this()](const auto &Code) {
+    const auto Self = Weak.lock();
+    if (Self && !Code)
+      Self->startHedge();
+  });
+}
+
+void CallExecution::startHedge() {
+  if (CallerLeft || !Primary || Primary->IsDone)
+    return;
+  const TimePoint Now = Environment.TimeSource.now();
+  RoutingState &Routing = Input.Runtime->Routing;
+  const ChoiceInput Known{Environment.HostDomain, Input.Deadline, Tried};
+  const Choice Chosen =
+      chooseTarget(Routing, Known, Now, Environment.Generator);
+  if (Chosen.Kind != ChoiceKind::Dispatch ||
+      !mayHedge(Routing, {Input.Call.Depth, Input.IsIdempotent, Input.Deadline},
+                Now))
+    return;
+  logChoice(Chosen, "hedge");
+  ++Environment.Figures.service(Input.Call.Service).Hedges;
+  Hedge = startAttempt(Chosen.Target);
+  asio::co_spawn(
+      Environment.Context,
+      [Self = shared_from_this(), Current = Hedge] {
+        return Self->runHedge(Current);
+      },
+      asio::detached);
+}
+
+Awaitable<void> CallExecution::runHedge(std::shared_ptr<Attempt> Current) {
+  HttpRequest Copy = Input.Request;
+  co_await runAttempt(Current, Copy);
+  if (Current->Report.End == AttemptEnd::Answered && !Primary->IsDone)
+    Primary->Handle->cancel();
+  if (Waiting)
+    Waiting->cancel();
+}
+
+Awaitable<std::optional<CallResult>> CallExecution::hedgeAnswer() {
+  if (!Hedge)
+    co_return std::nullopt;
+  Timer Wait(Environment.Context);
+  Waiting = &Wait;
+  while (!Hedge->IsDone) {
+    Wait.expires_at(TimePoint::max());
+    co_await Wait.async_wait(UseTuple);
+  }
+  Waiting = nullptr;
+  if (Hedge->Report.End != AttemptEnd::Answered)
+    co_return std::nullopt;
+  co_return answerResult(std::move(*Hedge->Report.Answer), Hedge->Config.Id);
+}
+
+bool CallExecution::mayTryAgain(const AttemptReport &Report) {
+  if (CallerLeft)
+    return false;
+  if (Report.LooksLikeCrash && Input.MayRetryAfterCrash &&
+      !Input.MayRetryAfterCrash())
     return false;
-  if (Report.IsProvedNotRun)
-    return true;
-  return IsIdempotent && Call.Depth == 1;
+  return mayRetry(Input.Runtime->Routing,
+                  {Attempts, Input.Call.Depth, Input.IsIdempotent,
+                   Report.IsProvedNotRun, Input.Deadline},
+                  Environment.TimeSource.now());
 }
 
 CallResult CallExecution::refusal(std::string_view Reason) const {
@@ -163,29 +283,31 @@
                            "); look up its effect before you send it again");
 }
 
-void CallExecution::logChoice(const Choice &Chosen) const {
+void CallExecution::logChoice(const Choice &Chosen,
+                              std::string_view Event) const {
   constexpr std::string_view KindNames[] = {"dispatch", "wait", "refuse"};
-  LogLine Line("route");
-  Line.field("request", Id.Value)
-      .field("service", Call.Service.Value)
+  LogLine Line(Event);
+  Line.field("request", Input.Id.Value)
+      .field("service", Input.Call.Service.Value)
       .field("attempt", Attempts + 1)
       .field("decision", KindNames[static_cast<int>(Chosen.Kind)]);
   if (Chosen.Kind == ChoiceKind::Dispatch)
-    Line.field("target",
-               Runtime->Routing.Targets[Chosen.Target].Config.Id.Value);
+    Line.field(
+        "target",
+        Input.Runtime->Routing.Targets[Chosen.Target].Config.Id.Value);
   Line.field("reason", Chosen.Reason);
   Environment.Decisions.write(Line);
 }
 
-void CallExecution::logEnd(const TargetId &Target, const AttemptReport &Report,
-                           Duration Elapsed) const {
+void CallExecution::logEnd(const Attempt &Ended, Duration Elapsed) const {
+  const AttemptReport &Report = Ended.Report;
   if (Report.End == AttemptEnd::Answered)
     return;
   LogLine Line("attempt_failed");
-  Line.field("request", Id.Value)
-      .field("service", Call.Service.Value)
-      .field("attempt", Attempts)
-      .field("target", Target.Value)
+  Line.field("request", Input.Id.Value)
+      .field("service", Input.Call.Service.Value)
+      .field("attempt", Ended.Number)
+      .field("target", Ended.Config.Id.Value)
       .field("end", attemptEndName(Report.End))
       .field("proved_not_run", Report.IsProvedNotRun)
       .field("elapsed_us", microseconds(Elapsed))
--- a/Services/Daemon/CallExecution.h
+++ b/Services/Daemon/CallExecution.h
@@ -21,6 +21,7 @@
   ConnectionPool &Pool;
   DecisionLog &Decisions;
   Metrics &Figures;
+  ServiceTable &Services;
   FailureDomain HostDomain;
   HttpLimits TargetLimits;
 };
@@ -33,14 +34,27 @@
   std::function<void()> ProvedNotRun;
 };
 
-/// Runs one call: picks targets, sends attempts, retries, and says how the
-/// call ended. One object per call.
+/// What the attempts of a call have in common.
+struct ExecutionInput {
+  std::shared_ptr<ServiceRuntime> Runtime;
+  CallRequest Call;
+  /// The request as the target receives it.
+  HttpRequest Request;
+  RequestId Id;
+  bool IsIdempotent = false;
+  TimePoint Deadline;
+  AttemptHooks Hooks;
+  /// Told of a target that closed the connection after the request was sent.
+  std::function<void(const TargetId &Target)> OnCrash;
+  /// Asked before another attempt after a crash. Empty allows it.
+  std::function<bool()> MayRetryAfterCrash;
+};
+
+/// Runs one call: picks targets, sends attempts, retries, hedges, and says how
+/// the call ended. One object per call.
 class CallExecution : public std::enable_shared_from_this<CallExecution> {
 public:
-  CallExecution(ExecutionContext &Environment,
-                std::shared_ptr<ServiceRuntime> Runtime, CallRequest Call,
-                HttpRequest Request, RequestId Id, bool IsIdempotent,
-                TimePoint Deadline, AttemptHooks Hooks);
+  CallExecution(const ExecutionContext &Environment, ExecutionInput Input);
 
   Awaitable<CallResult> run();
 
@@ -48,34 +62,47 @@
   void cancel();
 
 private:
-  enum class AttemptVerdict { Final, TryAgain };
+  /// One attempt in progress or ended.
+  struct Attempt {
+    std::uint32_t Number = 0;
+    TargetIndex Target = 0;
+    TargetConfig Config;
+    std::shared_ptr<AttemptHandle> Handle = std::make_shared<AttemptHandle>();
+    AttemptReport Report;
+    bool IsDone = false;
+  };
 
   Awaitable<Choice> chooseOrWait();
-  Awaitable<AttemptReport> attempt(TargetIndex Chosen,
-                                   std::shared_ptr<AttemptHandle> Handle);
-  bool mayTryAgain(const AttemptReport &Report) const;
+  Choice choose();
+  Awaitable<void> runAttempt(std::shared_ptr<Attempt> Current,
+                             HttpRequest &Sent);
+  std::shared_ptr<Attempt> startAttempt(TargetIndex Target);
+  void recordEnd(Attempt &Ended, TimePoint Begin, TimePoint End);
+
+  void armHedge();
+  void startHedge();
+  Awaitable<void> runHedge(std::shared_ptr<Attempt> Current);
+  /// Waits for the hedge, if there is one, and returns its answer.
+  Awaitable<std::optional<CallResult>> hedgeAnswer();
+
+  bool mayTryAgain(const AttemptReport &Report);
   CallResult refusal(std::string_view Reason) const;
   CallResult failure(const AttemptReport &Report) const;
-  void logChoice(const Choice &Chosen) const;
-  void logEnd(const TargetId &Target, const AttemptReport &Report,
-              Duration Elapsed) const;
+  void logChoice(const Choice &Chosen, std::string_view Event) const;
+  void logEnd(const Attempt &Ended, Duration Elapsed) const;
 
-  ExecutionContext &Environment;
-  std::shared_ptr<ServiceRuntime> Runtime;
-  CallRequest Call;
-  HttpRequest Request;
-  RequestId Id;
-  bool IsIdempotent;
-  TimePoint Deadline;
-  AttemptHooks Hooks;
+  ExecutionContext Environment;
+  ExecutionInput Input;
   TimePoint Started;
   std::vector<TargetIndex> Tried;
   std::uint32_t Attempts = 0;
   /// True once an attempt ended that a target may have run.
   bool MayHaveRun = false;
   bool CallerLeft = false;
-  std::shared_ptr<AttemptHandle> Current;
-  TargetId CurrentTarget;
+  std::shared_ptr<Attempt> Primary;
+  std::shared_ptr<Attempt> Hedge;
+  std::optional<Timer> HedgeTimer;
+  Timer *Waiting = nullptr;
 };
 
 } // namespace comfreyrill
--- a/Services/Daemon/CallService.cpp
+++ b/Services/Daemon/CallService.cpp
@@ -1,13 +1,49 @@
 #include "CallService.h"
 
+#include <LibCore/Hash.h>
+
 #include <algorithm>
 
 namespace comfreyrill {
 
-CallService::CallService(ExecutionContext Environment, ServiceTable &Services,
+namespace {
+
+// Used for a call whose service is unknown, which only its key decides on.
+constexpr Duration UnknownServiceTimeout = std::chrono::seconds(5);
+
+/// Gives the place of a call back when it ends.
+class PlaceHolder {
+public:
+  PlaceHolder(HostUsage &Usage, ServiceName Name)
+      : Usage(Usage), Name(std::move(Name)) {}
+  ~PlaceHolder() { returnPlace(Usage, Name); }
+  PlaceHolder(const PlaceHolder &) = delete;
+  PlaceHolder &operator=(const PlaceHolder &) = delete;
+
+private:
+  HostUsage &Usage;
+  ServiceName Name;
+};
+
+CallResult unknownService(const ServiceName &Name) {
+  return faultyRequestResult(
+      http::status::not_found, "unknown_service",
+      "the manifest in force has no service " + Name.Value +
+          "; correct the name or apply a manifest that has it");
+}
+
+CallResult keyMissing() {
+  return faultyRequestResult(
+      http::status::bad_request, "key_missing",
+      "this operation must not run twice; fetch a key from POST /v1/keys and "
+      "send it as Idempotency-Key");
+}
+
+} // namespace
+
+CallService::CallService(const ExecutionContext &Environment, KeyedCalls &Keys,
                          std::string IdPrefix)
-    : Environment(std::move(Environment)), Services(Services),
-      IdPrefix(std::move(IdPrefix)) {}
+    : Environment(Environment), Keys(Keys), IdPrefix(std::move(IdPrefix)) {}
 
 RequestId CallService::nextId() {
   return RequestId(IdPrefix + std::to_string(++IdCount));
@@ -32,29 +68,113 @@
     co_return faultyRequestResult(http::status::bad_request, "faulty_request",
                                   Parsed.error().Message);
   CallRequest Call = std::move(Parsed.value());
-  const auto Runtime = Services.find(Call.Service);
-  if (!Runtime)
-    co_return faultyRequestResult(
-        http::status::not_found, "unknown_service",
-        "the manifest in force has no service " + Call.Service.Value +
-            "; correct the name or apply a manifest that has it");
-
-  const ServiceConfig &Config = Runtime->Routing.Config;
-  const Duration Timeout = std::min(
-      Call.Timeout.value_or(Config.DefaultTimeout), Config.MaximumTimeout);
+  const auto Runtime = Environment.Services.find(Call.Service);
   const TimePoint Begin = Environment.TimeSource.now();
-  const std::string_view Method = Request.method_string();
-  const bool Idempotent = isIdempotent(Config, Method, Call.Path);
   const ServiceName Name = Call.Service;
-  HttpRequest Forwarded = makeTargetRequest(std::move(Request), Call, Id);
-  const auto Execution = std::make_shared<CallExecution>(
-      Environment, Runtime, std::move(Call), std::move(Forwarded), Id,
-      Idempotent, Begin + Timeout);
-  CallerLeft->onOccurrence([Execution] { Execution->cancel(); });
-  CallResult Result = co_await Execution->run();
-  Environment.Figures.countCall(Name, Result.Kind,
-                                Environment.TimeSource.now() - Begin);
+  if (!Runtime && !Call.Key)
+    co_return unknownService(Name);
+
+  Duration Timeout = Call.Timeout.value_or(UnknownServiceTimeout);
+  bool Idempotent = false;
+  if (Runtime) {
+    const ServiceConfig &Config = Runtime->Routing.Config;
+    Timeout = std::min(Call.Timeout.value_or(Config.DefaultTimeout),
+                       Config.MaximumTimeout);
+    Idempotent = isIdempotent(Config, Request.method_string(), Call.Path);
+  }
+  CallResult Result;
+  if (Idempotent) {
+    ExecutionInput Input = makeInput(Runtime, std::move(Call),
+                                     std::move(Request), Id, Begin + Timeout);
+    Input.IsIdempotent = true;
+    Result = co_await runIdempotent(std::move(Input), std::move(CallerLeft));
+  } else if (!Call.Key) {
+    Result = keyMissing();
+  } else {
+    // A caller that leaves does not end the call: its answer is kept under the
+    // key, for when the caller sends the request again.
+    Result = co_await runKeyed(std::move(Call), std::move(Request), Id, Runtime,
+                               Begin + Timeout);
+  }
+  if (Runtime)
+    Environment.Figures.countCall(Name, Result.Kind,
+                                  Environment.TimeSource.now() - Begin);
   co_return Result;
 }
 
+ExecutionInput
+CallService::makeInput(const std::shared_ptr<ServiceRuntime> &Runtime,
+                       CallRequest Call, HttpRequest Request, RequestId Id,
+                       TimePoint Deadline) const {
+  ExecutionInput Input;
+  Input.Runtime = Runtime;
+  Input.Request = makeTargetRequest(std::move(Request), Call, Id);
+  Input.Call = std::move(Call);
+  Input.Id = std::move(Id);
+  Input.Deadline = Deadline;
+  return Input;
+}
+
+std::optional<CallResult>
+CallService::takePlaceOrRefuse(const ServiceName &Name) {
+  if (takePlace(Environment.Services.usage(), Name))
+    return std::nullopt;
+  LogLine Line("refuse");
+  Line.field("service", Name.Value).field("reason", "host_overloaded");
+  Environment.Decisions.write(Line);
+  return notRunResult("host_overloaded",
+                      "this host has as many calls of the service as it "
+                      "takes; use another address or send the request later");
+}
+
+Awaitable<CallResult>
+CallService::runIdempotent(ExecutionInput Input,
+                           std::shared_ptr<Disconnect> CallerLeft) {
+  const ServiceName Name = Input.Call.Service;
+  auto Refusal = takePlaceOrRefuse(Name);
+  if (Refusal)
+    co_return std::move(*Refusal);
+  const PlaceHolder Place(Environment.Services.usage(), Name);
+  const auto Execution =
+      std::make_shared<CallExecution>(Environment, std::move(Input));
+  CallerLeft->onOccurrence([Execution] { Execution->cancel(); });
+  co_return co_await Execution->run();
+}
+
+Awaitable<CallResult> CallService::runKeyed(
+    CallRequest Call, HttpRequest Request, RequestId Id,
+    std::shared_ptr<ServiceRuntime> Runtime, TimePoint Deadline) {
+  KeyedCall Keyed;
+  Keyed.KeyText = *Call.Key;
+  Keyed.Original = Request;
+  Keyed.Fingerprint =
+      stableHash({Call.Service.Value, std::string_view(Request.method_string()),
+                  Call.Path, Request.body()});
+  Keyed.IsRelayed = Call.IsRelayed;
+  Keyed.Deadline = Deadline;
+  Keyed.Id = Id;
+  Keyed.Service = Call.Service;
+  if (!Runtime) {
+    Keyed.Refusal = unknownService(Call.Service);
+    co_return co_await Keys.handle(std::move(Keyed));
+  }
+  Keyed.Placement = Runtime->Routing.Config.Witness;
+  const ServiceName Name = Call.Service;
+  Keyed.Refusal = takePlaceOrRefuse(Name);
+  std::optional<PlaceHolder> Place;
+  if (!Keyed.Refusal)
+    Place.emplace(Environment.Services.usage(), Name);
+  auto Input =
+      std::make_shared<ExecutionInput>(makeInput(Runtime, std::move(Call),
+                                                 std::move(Request), Id,
+                                                 Deadline));
+  Keyed.Run = [this, Input](AttemptHooks Hooks) -> Awaitable<CallResult> {
+    Input->Hooks = std::move(Hooks);
+    const auto Execution =
+        std::make_shared<CallExecution>(Environment, std::move(*Input));
+    co_return co_await Execution->run();
+  };
+  co_return co_await Keys.handle(std::move(Keyed));
+}
+
 } // namespace comfreyrill
--- a/Services/Daemon/CallService.h
+++ b/Services/Daemon/CallService.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "CallExecution.h"
+#include "KeyedCalls.h"
 
 #include <LibHttp/HttpServer.h>
 
@@ -9,7 +10,7 @@
 /// Handles requests to /v1/call/...: checks them and runs them.
 class CallService {
 public:
-  CallService(ExecutionContext Environment, ServiceTable &Services,
+  CallService(const ExecutionContext &Environment, KeyedCalls &Keys,
               std::string IdPrefix);
 
   Awaitable<HttpResponse> handle(HttpRequest Request,
@@ -21,10 +22,20 @@
 private:
   Awaitable<CallResult> execute(HttpRequest Request, RequestId Id,
                                 std::shared_ptr<Disconnect> CallerLeft);
+  Awaitable<CallResult> runIdempotent(ExecutionInput Input,
+                                      std::shared_ptr<Disconnect> CallerLeft);
+  Awaitable<CallResult> runKeyed(CallRequest Call, HttpRequest Request,
+                                 RequestId Id,
+                                 std::shared_ptr<ServiceRuntime> Runtime,
+                                 TimePoint Deadline);
+  std::optional<CallResult> takePlaceOrRefuse(const ServiceName &Name);
+  ExecutionInput makeInput(const std::shared_ptr<ServiceRuntime> &Runtime,
+                           CallRequest Call, HttpRequest Request, RequestId Id,
+                           TimePoint Deadline) const;
   RequestId nextId();
 
   ExecutionContext Environment;
-  ServiceTable &Services;
+  KeyedCalls &Keys;
   std::string IdPrefix;
   std::uint64_t IdCount = 0;
   std::size_t Active = 0;
--- a/Services/Daemon/ServiceTable.cpp
+++ b/Services/Daemon/ServiceTable.cpp
@@ -2,8 +2,16 @@
 
 namespace comfreyrill {
 
-ServiceTable::ServiceTable(const Executor &Context, const Clock &TimeSource)
-    : Context(Context), TimeSource(TimeSource) {}
+void wakeFirstWaiter(ServiceRuntime &Runtime) {
+  const auto Ticket = headOfQueue(Runtime.Routing.Queue);
+  if (!Ticket)
+    return;
+  const auto Position = Runtime.Waiters.find(*Ticket);
+  if (Position != Runtime.Waiters.end())
+    Position->second->cancel();
+}
+
+ServiceTable::ServiceTable(const Clock &TimeSource) : TimeSource(TimeSource) {}
 
 void ServiceTable::apply(const Manifest &Next) {
   Current = Next;
@@ -12,12 +20,30 @@
     auto Position = Services.find(Config.Name);
     auto Runtime = Position != Services.end()
                        ? Position->second
-                       : std::make_shared<ServiceRuntime>(Context);
+                       : std::make_shared<ServiceRuntime>();
     updateTargets(Runtime->Routing, Config, TimeSource.now());
-    Runtime->SlotFreed.cancel();
+    setHostsMaximum(Runtime->Routing, Current.HostsMaximum);
+    setShare(Usage, Config.Name, Config.FairShare);
+    wakeFirstWaiter(*Runtime);
     Kept.emplace(Config.Name, std::move(Runtime));
   }
   Services = std::move(Kept);
+  setLeaving(std::move(LeavingAddresses));
+}
+
+void ServiceTable::setLeaving(std::unordered_set<std::string> Addresses) {
+  const auto Before = std::move(LeavingAddresses);
+  LeavingAddresses = std::move(Addresses);
+  for (const auto &[Name, Runtime] : Services) {
+    RoutingState &Routing = Runtime->Routing;
+    for (TargetIndex Index = 0; Index < Routing.Targets.size(); ++Index) {
+      const std::string &Address = Routing.Targets[Index].Config.Address.Address;
+      const bool IsLeavingNow = LeavingAddresses.contains(Address);
+      // Targets that said themselves that they drain stay as they are.
+      if (IsLeavingNow || Before.contains(Address))
+        recordDraining(Routing, Index, IsLeavingNow, TimeSource.now());
+    }
+  }
 }
 
 std::shared_ptr<ServiceRuntime>
--- a/Services/Daemon/ServiceTable.h
+++ b/Services/Daemon/ServiceTable.h
@@ -2,27 +2,31 @@
 
 #include <LibCore/Async.h>
 #include <LibManifest/Manifest.h>
+#include <LibRouting/FairShare.h>
 #include <LibRouting/Routing.h>
 
 #include <memory>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace comfreyrill {
 
 /// The routing state of one service and the calls that wait for a slot.
 struct ServiceRuntime {
-  explicit ServiceRuntime(const Executor &Context) : SlotFreed(Context) {}
-
   RoutingState Routing;
-  /// Cancelled when a slot may have become free; waiting calls wait on it.
-  Timer SlotFreed;
-  std::uint32_t WaitingCalls = 0;
+  /// Timers of the calls in Routing.Queue, by ticket; cancelling one makes its
+  /// call look for a target again.
+  std::unordered_map<std::uint64_t, Timer *> Waiters;
+  std::uint64_t LastTicket = 0;
 };
 
+/// Lets the first waiting call look for a target again.
+void wakeFirstWaiter(ServiceRuntime &Runtime);
+
 /// The services of the manifest in force.
 class ServiceTable {
 public:
-  ServiceTable(const Executor &Context, const Clock &TimeSource);
+  explicit ServiceTable(const Clock &TimeSource);
 
   /// Takes over a manifest; the state of targets that remain is kept.
   void apply(const Manifest &Next);
@@ -30,6 +34,14 @@
   /// The runtime of a service, or null when the manifest does not have it.
   std::shared_ptr<ServiceRuntime> find(const ServiceName &Name) const;
 
+  /// Takes over the addresses of machines that are leaving; their targets get
+  /// no new calls.
+  void setLeaving(std::unordered_set<std::string> Addresses);
+  bool isLeaving(const Endpoint &Target) const {
+    return LeavingAddresses.contains(Target.Address);
+  }
+
+  HostUsage &usage() { return Usage; }
   const Manifest &manifest() const { return Current; }
   const std::unordered_map<ServiceName, std::shared_ptr<ServiceRuntime>> &
   services() const {
@@ -37,9 +49,10 @@
   }
 
 private:
-  Executor Context;
   const Clock &TimeSource;
   Manifest Current;
+  std::unordered_set<std::string> LeavingAddresses;
+  HostUsage Usage;
   std::unordered_map<ServiceName, std::shared_ptr<ServiceRuntime>> Services;
 };
 
