--- /dev/null
+++ b/Libraries/LibPeer/Codec.cpp
@@ -0,0 +1,139 @@
+#include <LibPeer/Codec.h>
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+#include <memory>
+
+namespace comfreyrill {
+
+namespace {
+
+using MemoryBuffer = apache::thrift::transport::TMemoryBuffer;
+using Protocol = apache::thrift::protocol::TCompactProtocolT<MemoryBuffer>;
+
+constexpr std::uint32_t InitialBufferBytes = 512;
+
+// A shared configuration spares one allocation for each message.
+const std::shared_ptr<apache::thrift::TConfiguration> &configuration() {
+  static const auto Shared = std::make_shared<apache::thrift::TConfiguration>(
+      static_cast<int>(MaximumMessageBytes),
+      static_cast<int>(MaximumMessageBytes));
+  return Shared;
+}
+
+// The protocol takes shared ownership of its transport; this pointer owns
+// nothing, because the transport lives as long as the protocol on the stack.
+std::shared_ptr<MemoryBuffer> borrow(MemoryBuffer &Buffer) {
+  return {std::shared_ptr<void>(), &Buffer};
+}
+
+int knownBodies(const wire::PeerBody &Body) {
+  const auto &Set = Body.__isset;
+  return Set.heartbeat + Set.document_request + Set.document_reply +
+         Set.grant_request + Set.grant_reply + Set.seal_request +
+         Set.seal_reply + Set.outcome_notice + Set.crash_evidence + Set.error;
+}
+
+bool hasOversizedList(const wire::PeerBody &Body) {
+  if (!Body.__isset.heartbeat)
+    return false;
+  constexpr auto Limit = static_cast<std::size_t>(MaximumListElements);
+  if (Body.heartbeat.known.size() > Limit ||
+      Body.heartbeat.loads.size() > Limit)
+    return true;
+  for (const auto &Load : Body.heartbeat.loads)
+    if (Load.targets.size() > Limit)
+      return true;
+  return false;
+}
+
+Error tooLarge() {
+  return {ErrorKind::TooLarge,
+          "the message between hosts exceeds the limit of " +
+              std::to_string(MaximumMessageBytes) + " bytes or of " +
+              std::to_string(MaximumListElements) +
+              " list elements; send less at once"};
+}
+
+Error invalid(std::string_view Cause) {
+  return {ErrorKind::InvalidInput,
+          "the message is not one of a comfreyrill host (" +
+              std::string(Cause) +
+              "); check that the peer address belongs to one"};
+}
+
+// Writes the message behind a prefix of the given size, which stays zero.
+Result<std::string> encodeBehind(std::size_t PrefixBytes,
+                                 const wire::PeerMessage &Message) {
+  if (hasOversizedList(Message.body))
+    return tooLarge();
+  try {
+    MemoryBuffer Buffer(InitialBufferBytes, configuration());
+    const std::uint8_t Zeros[FrameHeaderBytes] = {};
+    Buffer.write(Zeros, static_cast<std::uint32_t>(PrefixBytes));
+    Protocol Writer(borrow(Buffer));
+    Message.write(&Writer);
+    std::uint8_t *Start = nullptr;
+    std::uint32_t Size = 0;
+    Buffer.getBuffer(&Start, &Size);
+    if (Size - PrefixBytes > MaximumMessageBytes)
+      return tooLarge();
+    return std::string(reinterpret_cast<const char *>(Start), Size);
+  } catch (const std::exception &Fault) {
+    return Error{ErrorKind::Internal,
+                 std::string("cannot encode a message between hosts: ") +
+                     Fault.what() + "; report this as a defect"};
+  }
+}
+
+} // namespace
+
+Result<std::string> encode(const wire::PeerMessage &Message) {
+  return encodeBehind(0, Message);
+}
+
+Result<std::string> encodeFrame(const wire::PeerMessage &Message) {
+  TRY(auto Frame, encodeBehind(FrameHeaderBytes, Message));
+  const auto Length =
+      static_cast<std::uint32_t>(Frame.size() - FrameHeaderBytes);
+  for (std::size_t Index = 0; Index < FrameHeaderBytes; ++Index)
+    Frame[Index] =
+        static_cast<char>(Length >> (8 * (FrameHeaderBytes - 1 - Index)));
+  return Frame;
+}
+
+std::uint32_t frameLength(std::string_view Header) {
+  std::uint32_t Length = 0;
+  for (std::size_t Index = 0; Index < FrameHeaderBytes; ++Index)
+    Length = Length << 8 | static_cast<std::uint8_t>(Header[Index]);
+  return Length;
+}
+
+Result<wire::PeerMessage> decode(std::string_view Bytes) {
+  if (Bytes.size() > MaximumMessageBytes)
+    return tooLarge();
+  try {
+    // The buffer only observes the bytes; the interface of Thrift lacks const.
+    auto *Start =
+        reinterpret_cast<std::uint8_t *>(const_cast<char *>(Bytes.data()));
+    MemoryBuffer Buffer(Start, static_cast<std::uint32_t>(Bytes.size()),
+                        MemoryBuffer::OBSERVE, configuration());
+    Protocol Reader(borrow(Buffer), static_cast<int>(MaximumMessageBytes),
+                    MaximumListElements);
+    wire::PeerMessage Message;
+    const std::uint32_t Consumed = Message.read(&Reader);
+    if (Buffer.available_read() != 0)
+      return invalid(std::to_string(Bytes.size() - Consumed) +
+                     " bytes follow the message");
+    if (knownBodies(Message.body) > 1)
+      return invalid("more than one body");
+    return Message;
+  } catch (const std::exception &Fault) {
+    return invalid(Fault.what());
+  }
+}
+
+bool hasKnownBody(const wire::PeerBody &Body) { return knownBodies(Body) == 1; }
+
+} // namespace comfreyrill
--- /dev/null
+++ b/Libraries/LibPeer/PeerServer.cpp
@@ -0,0 +1,152 @@
+#include <LibPeer/PeerServer.h>
+
+#include <vector>
+
+namespace comfreyrill {
+
+namespace {
+
+constexpr Duration SweepInterval = std::chrono::seconds(1);
+// Accepting fails when file descriptors run out; a short pause then keeps the
+// loop from spinning.
+constexpr Duration AcceptPause = std::chrono::milliseconds(100);
+
+} // namespace
+
+PeerReply::PeerReply(std::weak_ptr<FrameConnection> Connection,
+                     std::int64_t Correlation)
+    : Connection(std::move(Connection)), Correlation(Correlation) {}
+
+void PeerReply::send(const wire::PeerBody &Body) const {
+  const auto Target = Connection.lock();
+  if (!isExpected() || !Target)
+    return;
+  wire::PeerMessage Message;
+  Message.correlation = Correlation;
+  Message.body = Body;
+  auto Frame = encodeFrame(Message);
+  if (!Frame) {
+    // The peer would wait until its deadline for an answer that cannot be sent.
+    Message.body = wire::PeerBody();
+    wire::ErrorReply Refusal;
+    Refusal.message = Frame.error().Message;
+    Message.body.__set_error(Refusal);
+    Frame = encodeFrame(Message);
+  }
+  if (Frame)
+    (void)Target->send(Frame.value());
+}
+
+PeerServer::PeerServer(const Executor &Context, const Clock &TimeSource,
+                       const PeerServerLimits &Limits, Handler HandleMessage)
+    : Context(Context), TimeSource(TimeSource), Limits(Limits),
+      HandleMessage(std::move(HandleMessage)), Acceptor(Context),
+      SweepTimer(Context) {}
+
+Result<void> PeerServer::listen(const Endpoint &Requested) {
+  boost::system::error_code Code;
+  const auto Address = asio::ip::make_address(Requested.Address, Code);
+  const asio::ip::tcp::endpoint Wanted(Address, Requested.Port);
+  if (!Code)
+    Acceptor.open(Wanted.protocol(), Code);
+  if (!Code)
+    Acceptor.set_option(asio::socket_base::reuse_address(true), Code);
+  if (!Code)
+    Acceptor.bind(Wanted, Code);
+  if (!Code)
+    Acceptor.listen(asio::socket_base::max_listen_connections, Code);
+  if (Code)
+    return Error{ErrorKind::Unavailable,
+                 "cannot listen on " + formatEndpoint(Requested) + ": " +
+                     Code.message() +
+                     "; choose a free port and an address of this host"};
+  const auto Bound = Acceptor.local_endpoint(Code);
+  Local = {Bound.address().to_string(), Bound.port()};
+  asio::co_spawn(
+      Context, [Self = shared_from_this()] { return Self->accept(); },
+      asio::detached);
+  scheduleSweep();
+  return outcome::success();
+}
+
+void PeerServer::close() {
+  boost::system::error_code Ignored;
+  Acceptor.close(Ignored);
+  SweepTimer.cancel();
+  const std::vector<std::shared_ptr<FrameConnection>> All(Connections.begin(),
+                                                          Connections.end());
+  for (const auto &Connection : All)
+    Connection->close({ErrorKind::ConnectionLost,
+                       "this host closes its peer listener; use another host"});
+}
+
+Awaitable<void> PeerServer::accept() {
+  while (Acceptor.is_open()) {
+    auto [Code, Accepted] = co_await Acceptor.async_accept(UseTuple);
+    if (!Acceptor.is_open())
+      co_return;
+    if (Code) {
+      Timer Pause(Context);
+      Pause.expires_after(AcceptPause);
+      (void)co_await Pause.async_wait(UseTuple);
+      continue;
+    }
+    // The destructor of the socket closes a connection above the limit.
+    if (Connections.size() < Limits.Connections)
+      startConnection(std::move(Accepted));
+  }
+}
+
+void PeerServer::startConnection(TcpSocket Accepted) {
+  const auto Connection = std::make_shared<FrameConnection>(
+      std::move(Accepted), TimeSource, Limits.Frames, Traffic);
+  Connections.insert(Connection);
+  const std::weak_ptr<PeerServer> WeakSelf = weak_from_this();
+  const std::weak_ptr<FrameConnection> WeakConnection = Connection;
+  Connection->start(
+      [WeakSelf, WeakConnection](const wire::PeerMessage &Message) {
+        const auto Self = WeakSelf.lock();
+        const auto Source = WeakConnection.lock();
+        if (Self && Source)
+          Self->onMessage(Source, Message);
+      },
+      [WeakSelf, WeakConnection](const Error &) {
+        const auto Self = WeakSelf.lock();
+        const auto Source = WeakConnection.lock();
+        if (Self && Source)
+          Self->Connections.erase(Source);
+      });
+}
+
+void PeerServer::onMessage(const std::shared_ptr<FrameConnection> &Connection,
+                           const wire::PeerMessage &Message) {
+  const PeerReply Reply(Connection, Message.correlation);
+  if (hasKnownBody(Message.body)) {
+    HandleMessage(Message.body, Reply);
+    return;
+  }
+  wire::ErrorReply Refusal;
+  Refusal.message =
+      "this host does not know that kind of message; it runs an older version";
+  wire::PeerBody Body;
+  Body.__set_error(Refusal);
+  Reply.send(Body);
+}
+
+void PeerServer::scheduleSweep() {
+  SweepTimer.expires_after(SweepInterval);
+  SweepTimer.async_wait(
+      [Weak = weak_from_this()](const boost::system::error_code &Code) {
+        const auto Self = Weak.lock();
+        if (Code || !Self)
+          return;
+        const TimePoint Now = Self->TimeSource.now();
+        const std::vector<std::shared_ptr<FrameConnection>> All(
+            Self->Connections.begin(), Self->Connections.end());
+        for (const auto &Connection : All)
+          Connection->enforceTimes(Now, true);
+        Self->scheduleSweep();
+      });
+}
+
+} // namespace comfreyrill
--- /dev/null
+++ b/Tests/LibPeer/TestCodec.cpp
@@ -0,0 +1,190 @@
+#include <LibPeer/Codec.h>
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+namespace comfreyrill {
+namespace {
+
+wire::HostDescription anyHost() {
+  wire::HostDescription Host;
+  Host.host = *rc::gen::arbitrary<std::string>();
+  Host.incarnation = *rc::gen::arbitrary<std::int64_t>();
+  Host.failure_domain = *rc::gen::arbitrary<std::string>();
+  Host.peer_address = *rc::gen::arbitrary<std::string>();
+  Host.caller_address = *rc::gen::arbitrary<std::string>();
+  Host.admin_address = *rc::gen::arbitrary<std::string>();
+  Host.state = static_cast<wire::HostState::type>(*rc::gen::inRange(1, 4));
+  Host.manifest_number = *rc::gen::arbitrary<std::int64_t>();
+  if (*rc::gen::arbitrary<bool>())
+    Host.__set_fleet_version(*rc::gen::arbitrary<std::int64_t>());
+  return Host;
+}
+
+wire::Heartbeat anyHeartbeat() {
+  wire::Heartbeat Heartbeat;
+  Heartbeat.sender = anyHost();
+  Heartbeat.sequence = *rc::gen::arbitrary<std::int64_t>();
+  std::vector<wire::HostDescription> Known;
+  for (int Count = *rc::gen::inRange(0, 4); Count > 0; --Count)
+    Known.push_back(anyHost());
+  if (!Known.empty())
+    Heartbeat.__set_known(Known);
+  wire::ServiceLoad Load;
+  Load.service_index = *rc::gen::arbitrary<std::int32_t>();
+  for (int Count = *rc::gen::inRange(0, 5); Count > 0; --Count) {
+    wire::TargetLoad Target;
+    Target.target_index = *rc::gen::arbitrary<std::int32_t>();
+    Target.in_flight = *rc::gen::arbitrary<std::int32_t>();
+    Load.targets.push_back(Target);
+  }
+  if (*rc::gen::arbitrary<bool>())
+    Heartbeat.__set_loads({Load});
+  return Heartbeat;
+}
+
+wire::StoredOutcome anyOutcome() {
+  wire::StoredOutcome Stored;
+  Stored.outcome =
+      static_cast<wire::CallOutcome::type>(*rc::gen::inRange(1, 4));
+  Stored.reason = *rc::gen::arbitrary<std::string>();
+  Stored.fingerprint = *rc::gen::arbitrary<std::int64_t>();
+  if (*rc::gen::arbitrary<bool>())
+    Stored.__set_answer(*rc::gen::arbitrary<std::string>());
+  return Stored;
+}
+
+wire::PeerBody anyBody() {
+  wire::PeerBody Body;
+  switch (*rc::gen::inRange(0, 5)) {
+  case 0:
+    Body.__set_heartbeat(anyHeartbeat());
+    break;
+  case 1: {
+    wire::DocumentReply Reply;
+    Reply.name = *rc::gen::arbitrary<std::string>();
+    Reply.number = *rc::gen::arbitrary<std::int64_t>();
+    Reply.value = *rc::gen::arbitrary<std::string>();
+    Body.__set_document_reply(Reply);
+    break;
+  }
+  case 2: {
+    wire::GrantRequest Request;
+    Request.key = *rc::gen::arbitrary<std::string>();
+    Request.fingerprint = *rc::gen::arbitrary<std::int64_t>();
+    Body.__set_grant_request(Request);
+    break;
+  }
+  case 3: {
+    wire::SealReply Reply;
+    Reply.verdict = wire::SealVerdict::FINISHED;
+    if (*rc::gen::arbitrary<bool>())
+      Reply.__set_stored(anyOutcome());
+    Body.__set_seal_reply(Reply);
+    break;
+  }
+  default: {
+    wire::OutcomeNotice Notice;
+    Notice.key = *rc::gen::arbitrary<std::string>();
+    Notice.stored = anyOutcome();
+    Body.__set_outcome_notice(Notice);
+  }
+  }
+  return Body;
+}
+
+wire::PeerMessage anyMessage() {
+  wire::PeerMessage Message;
+  Message.correlation = *rc::gen::arbitrary<std::int64_t>();
+  Message.body = anyBody();
+  return Message;
+}
+
+// Guards against fields that are lost or changed between two hosts.
+RC_GTEST_PROP(Codec, RoundTripKeepsEveryField, ()) {
+  const auto Message = anyMessage();
+  const auto Bytes = encode(Message);
+  RC_ASSERT(Bytes.has_value());
+  const auto Decoded = decode(Bytes.value());
+  RC_ASSERT(Decoded.has_value());
+  // The generated types cannot be printed.
+  const bool IsEqual = Decoded.value() == Message;
+  RC_ASSERT(IsEqual);
+}
+
+// Guards against exceptions or crashes on bytes of another protocol.
+RC_GTEST_PROP(Codec, RandomBytesGiveATypedError, (const std::string &Bytes)) {
+  const auto Decoded = decode(Bytes);
+  RC_ASSERT(Decoded.has_value() ||
+            Decoded.error().Kind == ErrorKind::InvalidInput);
+}
+
+// Guards against a truncated message that is taken for a shorter one.
+RC_GTEST_PROP(Codec, TruncatedMessagesAreRefused, ()) {
+  const auto Bytes = encode(anyMessage()).value();
+  const auto Length = *rc::gen::inRange<std::size_t>(0, Bytes.size());
+  const auto Decoded = decode(std::string_view(Bytes).substr(0, Length));
+  RC_ASSERT(!Decoded.has_value());
+  RC_ASSERT(Decoded.error().Kind == ErrorKind::InvalidInput);
+}
+
+// Guards against damaged bytes that end the process or hang the decoder.
+RC_GTEST_PROP(Codec, DamagedMessagesNeverThrow, ()) {
+  auto Bytes = encode(anyMessage()).value();
+  for (int Count = *rc::gen::inRange(1, 4); Count > 0; --Count)
+    Bytes[*rc::gen::inRange<std::size_t>(0, Bytes.size())] =
+        *rc::gen::arbitrary<char>();
+  (void)decode(Bytes);
+}
+
+// Guards against two messages that are glued together and read as one.
+TEST(Codec, BytesBehindTheMessageAreRefused) {
+  wire::PeerMessage Message;
+  Message.body.__set_seal_request({});
+  EXPECT_FALSE(decode(encode(Message).value() + '\0').has_value());
+}
+
+// Guards against a message of this host that the receiver would refuse and
+// close the connection for.
+TEST(Codec, OversizedMessagesAreRefusedBeforeSending) {
+  wire::PeerMessage Large;
+  wire::DocumentReply Reply;
+  Reply.value.assign(MaximumMessageBytes, 'x');
+  Large.body.__set_document_reply(Reply);
+  EXPECT_EQ(encode(Large).error().Kind, ErrorKind::TooLarge);
+
+  wire::PeerMessage Long;
+  wire::Heartbeat Heartbeat;
+  Heartbeat.__set_known(
+      std::vector<wire::HostDescription>(MaximumListElements + 1));
+  Long.body.__set_heartbeat(Heartbeat);
+  EXPECT_EQ(encode(Long).error().Kind, ErrorKind::TooLarge);
+}
+
+// Guards against a few bytes that make the decoder allocate gigabytes: a list
+// of known hosts that claims 2^31 - 1 elements.
+TEST(Codec, ClaimedListLengthIsBounded) {
+  wire::PeerMessage Message;
+  wire::Heartbeat Heartbeat;
+  Heartbeat.__set_known(std::vector<wire::HostDescription>(20));
+  Message.body.__set_heartbeat(Heartbeat);
+  std::string Bytes = encode(Message).value();
+  const auto Position = Bytes.find(std::string("\xFC\x14", 2));
+  ASSERT_NE(Position, std::string::npos);
+  Bytes.replace(Position, 2, "\xFC\xFF\xFF\xFF\xFF\x07");
+  EXPECT_EQ(decode(Bytes).error().Kind, ErrorKind::InvalidInput);
+}
+
+// Guards against a body of a newer version ending the connection during a
+// replacement of the fleet.
+TEST(Codec, UnknownBodyIsLeftUnset) {
+  // correlation 1; body with field 15, an empty struct; ends of both structs.
+  const std::string Bytes("\x16\x02\x1C\xFC\x00\x00\x00", 7);
+  const auto Decoded = decode(Bytes);
+  ASSERT_TRUE(Decoded.has_value()) << Decoded.error().Message;
+  EXPECT_FALSE(hasKnownBody(Decoded.value().body));
+}
+
+} // namespace
+} // namespace comfreyrill
