--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -178,7 +178,7 @@
   boost::system::error_code Ignored;
   Current.Socket.cancel(Ignored);
   Current.enter(SessionPhase::Writing, TimeSource.now());
-  KeepAlive = KeepAlive && !IsStopping;
+  KeepAlive = KeepAlive && !IsStopping && !IsClosingAfterAnswer;
   Response.keep_alive(KeepAlive);
   const auto [WriteError, WrittenBytes] =
       co_await http::async_write(Current.Socket, Response, UseTuple);
--- a/Libraries/LibHttp/HttpServer.h
+++ b/Libraries/LibHttp/HttpServer.h
@@ -41,6 +41,10 @@
   Result<void> listen(const Endpoint &Local);
   Endpoint localEndpoint() const { return Local; }
 
+  /// Closes each connection with its next answer, while new ones are accepted.
+  /// Callers then move to other hosts between two requests, where no request
+  /// can meet a closing connection.
+  void endKeepAlive() { IsClosingAfterAnswer = true; }
   /// Ends accepting; open connections go on, and each is told to close with
   /// its next answer.
   void stopAccepting();
@@ -72,6 +76,7 @@
   Timer SweepTimer;
   Endpoint Local;
   bool IsStopping = false;
+  bool IsClosingAfterAnswer = false;
   std::size_t ActiveRequests = 0;
   std::unordered_set<std::shared_ptr<Session>> Sessions;
 };
--- a/Libraries/LibRouting/RoutingState.h
+++ b/Libraries/LibRouting/RoutingState.h
@@ -76,7 +76,8 @@
   /// Most hosts that run at a time; fleet-wide limits are divided by it.
   std::uint32_t HostsMaximum = 20;
 
-  RatioBudget Retries;
+  /// A host that has just started may retry before it has earned anything.
+  RatioBudget Retries{10};
   RatioBudget Hedges;
   ProbeBudget Probes;
   AnswerTimes Answers;
--- a/Meta/CMake/Packages.cmake
+++ b/Meta/CMake/Packages.cmake
@@ -14,6 +14,8 @@
 find_library(RAPIDCHECK_LIBRARY rapidcheck REQUIRED)
 
 add_compile_options(-Wall -Wextra -Werror -fno-omit-frame-pointer)
+# g++ 12 takes the custom allocation of Asio's coroutine frames for a mismatch.
+add_compile_options($<$<CXX_COMPILER_ID:GNU>:-Wno-mismatched-new-delete>)
 add_compile_definitions(BOOST_ASIO_NO_DEPRECATED)
 if(COMFREYRILL_SANITIZERS)
   add_compile_options(-fsanitize=${COMFREYRILL_SANITIZERS} -fno-sanitize-recover=all)
--- /dev/null
+++ b/Services/Daemon/AdminApi.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "CallService.h"
+#include "ManifestKeeper.h"
+
+#include <LibMembership/MemberTable.h>
+
+#include <functional>
+
+namespace comfreyrill {
+
+/// Figures that GET /metrics adds to those of the calls.
+using MetricSource = std::function<void(Metrics &Figures)>;
+
+/// What operators see of a host: status, decisions, metrics and drain.
+class AdminApi {
+public:
+  AdminApi(const ExecutionContext &Environment, const MemberTable &Members,
+           const ManifestKeeper &Documents, MetricSource UpdateMetrics,
+           std::function<void()> StartDrain);
+
+  Awaitable<HttpResponse> handle(HttpRequest Request,
+                                 std::shared_ptr<Disconnect> CallerLeft);
+
+private:
+  std::string status() const;
+  Awaitable<HttpResponse> decisions(std::string Path);
+
+  ExecutionContext Environment;
+  const MemberTable &Members;
+  const ManifestKeeper &Documents;
+  MetricSource UpdateMetrics;
+  std::function<void()> StartDrain;
+};
+
+/// The state of this host or a peer, as in the status: starting, ready,
+/// leaving, suspect or lost.
+std::string_view hostStateName(HostState State);
+std::string_view peerStateName(const MemberTable &Members, const Peer &Other,
+                               TimePoint Now);
+
+} // namespace comfreyrill
--- a/Services/Daemon/CallExecution.cpp
+++ b/Services/Daemon/CallExecution.cpp
@@ -91,8 +91,8 @@
   if (Now >= Input.Deadline)
     return {ChoiceKind::Refuse, 0, "deadline_passed"};
   const ChoiceInput Known{Environment.HostDomain, Input.Deadline, Tried};
-  const Choice Chosen = chooseTarget(Input.Runtime->Routing, Known, Now,
-                                     Environment.Generator);
+  const Choice Chosen =
+      chooseTarget(Input.Runtime->Routing, Known, Now, Environment.Generator);
   logChoice(Chosen, "route");
   return Chosen;
 }
@@ -117,12 +117,11 @@
   Runtime.Waiters.emplace(Ticket, &Wake);
   Choice Chosen{ChoiceKind::Wait, 0, "queued"};
   while (Chosen.Kind == ChoiceKind::Wait) {
-    Wake.expires_at(std::min(
-        Input.Deadline, Environment.TimeSource.now() + WaitPollInterval));
+    Wake.expires_at(std::min(Input.Deadline,
+                             Environment.TimeSource.now() + WaitPollInterval));
     co_await Wake.async_wait(UseTuple);
     const bool IsFirst = headOfQueue(Runtime.Routing.Queue) == Ticket;
-    if (IsFirst || CallerLeft ||
-        Environment.TimeSource.now() >= Input.Deadline)
+    if (IsFirst || CallerLeft || Environment.TimeSource.now() >= Input.Deadline)
       Chosen = choose();
   }
   Waiting = nullptr;
@@ -155,8 +154,8 @@
   Sent.set(header::DeadlineMilliseconds, std::to_string(Remaining.count()));
   Sent.set(http::field::host, formatEndpoint(Current->Config.Address));
   Current->Report = co_await sendToTarget(
-      Environment.Pool, Current->Config.Address, Sent,
-      Environment.TargetLimits, Input.Deadline, Current->Handle);
+      Environment.Pool, Current->Config.Address, Sent, Environment.TargetLimits,
+      Input.Deadline, Current->Handle);
   Current->IsDone = true;
   recordEnd(*Current, Begin, Environment.TimeSource.now());
 }
@@ -167,9 +166,9 @@
   if (const auto Index = findTarget(Routing, Ended.Target, Ended.Config.Id)) {
     recordFinish(Routing, {*Index, Report.End, End - Begin}, End);
     if (Report.Load) {
-      Report.Load->Draining = Report.Load->Draining ||
-                              Environment.Services.isLeaving(
-                                  Ended.Config.Address);
+      Report.Load->Draining =
+          Report.Load->Draining ||
+          Environment.Services.isLeaving(Ended.Config.Address);
       recordLoadReport(Routing, *Index, *Report.Load, End);
     }
   }
@@ -190,8 +189,8 @@
   const HedgePolicy &Policy = Input.Runtime->Routing.Config.Hedge;
   if (!Policy.Enabled || !Input.IsIdempotent || Input.Call.Depth > 1 || Hedge)
     return;
-  const TimePoint Start = Environment.TimeSource.now() +
-                          hedgeDelay(Input.Runtime->Routing);
+  const TimePoint Start =
+      Environment.TimeSource.now() + hedgeDelay(Input.Runtime->Routing);
   if (Start >= Input.Deadline)
     return;
   HedgeTimer.emplace(Environment.Context);
@@ -292,9 +291,8 @@
       .field("attempt", Attempts + 1)
       .field("decision", KindNames[static_cast<int>(Chosen.Kind)]);
   if (Chosen.Kind == ChoiceKind::Dispatch)
-    Line.field(
-        "target",
-        Input.Runtime->Routing.Targets[Chosen.Target].Config.Id.Value);
+    Line.field("target",
+               Input.Runtime->Routing.Targets[Chosen.Target].Config.Id.Value);
   Line.field("reason", Chosen.Reason);
   Environment.Decisions.write(Line);
 }
--- a/Services/Daemon/CallService.cpp
+++ b/Services/Daemon/CallService.cpp
@@ -141,9 +141,10 @@
   co_return co_await Execution->run();
 }
 
-Awaitable<CallResult> CallService::runKeyed(
-    CallRequest Call, HttpRequest Request, RequestId Id,
-    std::shared_ptr<ServiceRuntime> Runtime, TimePoint Deadline) {
+Awaitable<CallResult>
+CallService::runKeyed(CallRequest Call, HttpRequest Request, RequestId Id,
+                      std::shared_ptr<ServiceRuntime> Runtime,
+                      TimePoint Deadline) {
   KeyedCall Keyed;
   Keyed.KeyText = *Call.Key;
   Keyed.Original = Request;
@@ -164,10 +165,8 @@
   std::optional<PlaceHolder> Place;
   if (!Keyed.Refusal)
     Place.emplace(Environment.Services.usage(), Name);
-  auto Input =
-      std::make_shared<ExecutionInput>(makeInput(Runtime, std::move(Call),
-                                                 std::move(Request), Id,
-                                                 Deadline));
+  auto Input = std::make_shared<ExecutionInput>(
+      makeInput(Runtime, std::move(Call), std::move(Request), Id, Deadline));
   Keyed.Run = [this, Input](AttemptHooks Hooks) -> Awaitable<CallResult> {
     Input->Hooks = std::move(Hooks);
     const auto Execution =
--- /dev/null
+++ b/Services/Daemon/HostApi.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "CallService.h"
+
+#include <LibMembership/Addresses.h>
+
+namespace comfreyrill {
+
+/// What callers see of a host: addresses, keys and calls.
+class HostApi {
+public:
+  HostApi(const ExecutionContext &Environment, CallService &Calls,
+          KeyedCalls &Keys, const MemberTable &Members);
+
+  Awaitable<HttpResponse> handle(HttpRequest Request,
+                                 std::shared_ptr<Disconnect> CallerLeft);
+
+private:
+  HttpResponse addresses(std::string_view Path);
+  HttpResponse keys(std::string_view Path);
+  Result<std::shared_ptr<ServiceRuntime>> findService(std::string_view Path);
+
+  ExecutionContext Environment;
+  CallService &Calls;
+  KeyedCalls &Keys;
+  const MemberTable &Members;
+};
+
+/// The answer to a message that could not be read.
+HttpResponse unreadableRequest(http::status Status, const Error &Cause);
+
+} // namespace comfreyrill
--- /dev/null
+++ b/Services/Daemon/HostDaemon.cpp
@@ -0,0 +1,290 @@
+#include "HostDaemon.h"
+
+namespace comfreyrill {
+
+namespace {
+
+constexpr Duration MaintenanceInterval = std::chrono::milliseconds(250);
+constexpr Duration DrainPollInterval = std::chrono::milliseconds(50);
+// Time in which a new host hears its peers before it serves with the manifest
+// of the platform alone, which could be a stale read.
+constexpr Duration PeerHearingTime = std::chrono::seconds(1);
+// Shorter than the idle time that servers commonly apply, so that this side
+// closes first and no request meets a closing connection.
+constexpr Duration PoolIdleTime = std::chrono::seconds(10);
+constexpr std::uint32_t AdminConnections = 64;
+
+HostDescription describeSelf(const Settings &Configured, Random &Generator) {
+  HostDescription Self;
+  Self.Host = Configured.Host;
+  Self.Incarnation.Value = Generator();
+  Self.StartedAt = std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch());
+  Self.Domain = Configured.Domain;
+  return Self;
+}
+
+} // namespace
+
+HostDaemon::HostDaemon(Settings Configured, asio::io_context &Loop,
+                       const Clock &TimeSource)
+    : Configured(std::move(Configured)), Loop(Loop), TimeSource(TimeSource),
+      Started(TimeSource.now()), MaintenanceTimer(Loop.get_executor()) {}
+
+Result<void> HostDaemon::start() {
+  TRY(buildState());
+  TRY(buildCallPath());
+  TRY(buildPeers());
+  TRY(buildListeners());
+  TRY(listen());
+  TRY(const auto Peers, Kernel.find<PeerService>("peers"));
+  TRY(const auto Platform, Kernel.find<PlatformService>("platform"));
+  Peers->start();
+  Platform->start();
+  asio::co_spawn(Loop, runMaintenance(), asio::detached);
+  return outcome::success();
+}
+
+Result<void> HostDaemon::buildState() {
+  const auto Context = Loop.get_executor();
+  const auto Output =
+      std::make_shared<Log>(Configured.Level, Configured.LogPath);
+  const auto Services = std::make_shared<ServiceTable>(TimeSource);
+  Services->usage().CallsMaximum = Configured.CallsMaximum;
+  const auto Decisions = std::make_shared<DecisionLog>(Context, *Output);
+  const auto Generator = std::make_shared<Random>(systemRandom());
+  const auto Members = std::make_shared<MemberTable>(
+      makeMemberTable(describeSelf(Configured, *Generator), Configured.Seeds,
+                      MembershipSettings{}, Started));
+  TRY(Kernel.add("log", Output));
+  TRY(Kernel.add("random", Generator));
+  TRY(Kernel.add("services", Services));
+  TRY(Kernel.add("decisions", Decisions));
+  TRY(Kernel.add("metrics", std::make_shared<Metrics>()));
+  TRY(Kernel.add("members", Members));
+  TRY(Kernel.add("documents",
+                 std::make_shared<ManifestKeeper>(*Services, *Decisions)));
+  TRY(Kernel.add("pool", std::make_shared<ConnectionPool>(Context, TimeSource,
+                                                          PoolIdleTime)));
+  TRY(Kernel.add("mesh", std::make_shared<PeerMesh>(
+                             Context, TimeSource, PeerMeshLimits{},
+                             systemRandom())));
+  return outcome::success();
+}
+
+// Only called after buildState, which has registered every name used here.
+ExecutionContext HostDaemon::environment() const {
+  return {Loop.get_executor(),
+          TimeSource,
+          *Kernel.find<Random>("random").value(),
+          *Kernel.find<ConnectionPool>("pool").value(),
+          *Kernel.find<DecisionLog>("decisions").value(),
+          *Kernel.find<Metrics>("metrics").value(),
+          *Kernel.find<ServiceTable>("services").value(),
+          Configured.Domain,
+          Configured.Limits};
+}
+
+Result<void> HostDaemon::buildCallPath() {
+  TRY(const auto Members, Kernel.find<MemberTable>("members"));
+  TRY(const auto Mesh, Kernel.find<PeerMesh>("mesh"));
+  const HostDescription &Self = Members->Self;
+  const auto Keys = std::make_shared<KeyedCalls>(
+      environment(), HostProcess{Self.Host, Self.Incarnation}, *Mesh,
+      makeDirectory(*Members, TimeSource));
+  // The incarnation in the prefix keeps request ids of a restarted host apart.
+  const std::string Prefix =
+      Self.Host.Value + "-" +
+      hexadecimal(Self.Incarnation.Value).substr(0, 8) + "-";
+  const auto Calls =
+      std::make_shared<CallService>(environment(), *Keys, Prefix);
+  TRY(Kernel.add("keys", Keys));
+  TRY(Kernel.add("calls", Calls));
+  TRY(Kernel.add("host_api", std::make_shared<HostApi>(environment(), *Calls,
+                                                       *Keys, *Members)));
+  return outcome::success();
+}
+
+Result<void> HostDaemon::buildPeers() {
+  TRY(const auto Members, Kernel.find<MemberTable>("members"));
+  TRY(const auto Documents, Kernel.find<ManifestKeeper>("documents"));
+  TRY(const auto Keys, Kernel.find<KeyedCalls>("keys"));
+  TRY(const auto Mesh, Kernel.find<PeerMesh>("mesh"));
+  const auto Peers = std::make_shared<PeerService>(
+      environment(), *Members, *Documents, *Keys, *Mesh);
+  const auto Platform = std::make_shared<PlatformService>(
+      environment(), Configured.Platform, *Members, *Documents,
+      [Peers] { Peers->announce(); });
+  Documents->onChange([this, Members = Members.get(),
+                       Documents = Documents.get(), Peers = Peers.get()] {
+    const TimePoint Now = TimeSource.now();
+    announceManifest(*Members, Documents->number(), Now);
+    announceFleet(*Members, Documents->fleetVersion(), Now);
+    updateReadiness();
+    Peers->announce();
+  });
+  TRY(Kernel.add("peers", Peers));
+  TRY(Kernel.add("platform", Platform));
+  return outcome::success();
+}
+
+Result<void> HostDaemon::buildListeners() {
+  TRY(const auto Members, Kernel.find<MemberTable>("members"));
+  TRY(const auto Documents, Kernel.find<ManifestKeeper>("documents"));
+  TRY(const auto Api, Kernel.find<HostApi>("host_api"));
+  TRY(const auto Peers, Kernel.find<PeerService>("peers"));
+  const auto Context = Loop.get_executor();
+  const auto Callers = std::make_shared<HttpServer>(
+      Context, TimeSource, Configured.Limits,
+      [Api](HttpRequest Request, std::shared_ptr<Disconnect> Left) {
+        return Api->handle(std::move(Request), std::move(Left));
+      },
+      unreadableRequest);
+  const auto Admin = std::make_shared<AdminApi>(
+      environment(), *Members, *Documents,
+      [this](Metrics &Figures) { updateMetrics(Figures); },
+      [this] { drain(); });
+  HttpLimits AdminLimits = Configured.Limits;
+  AdminLimits.Connections = AdminConnections;
+  const auto AdminServer = std::make_shared<HttpServer>(
+      Context, TimeSource, AdminLimits,
+      [Admin](HttpRequest Request, std::shared_ptr<Disconnect> Left) {
+        return Admin->handle(std::move(Request), std::move(Left));
+      },
+      unreadableRequest);
+  const auto PeerListener = std::make_shared<PeerServer>(
+      Context, TimeSource, PeerServerLimits{},
+      [Peers = Peers.get()](const wire::PeerBody &Body, const PeerReply &Reply) {
+        Peers->handle(Body, Reply);
+      });
+  TRY(Kernel.add("caller_listener", Callers));
+  TRY(Kernel.add("admin_listener", AdminServer));
+  TRY(Kernel.add("peer_listener", PeerListener));
+  return outcome::success();
+}
+
+Result<void> HostDaemon::listen() {
+  TRY(const auto Members, Kernel.find<MemberTable>("members"));
+  TRY(const auto Decisions, Kernel.find<DecisionLog>("decisions"));
+  TRY(const auto Callers, Kernel.find<HttpServer>("caller_listener"));
+  TRY(const auto Admin, Kernel.find<HttpServer>("admin_listener"));
+  TRY(const auto Peers, Kernel.find<PeerServer>("peer_listener"));
+  TRY(Callers->listen(Configured.CallerAddress));
+  TRY(Admin->listen(Configured.AdminAddress));
+  TRY(Peers->listen(Configured.PeerAddress));
+  HostDescription &Self = Members->Self;
+  Self.CallerAddress = Callers->localEndpoint();
+  Self.AdminAddress = Admin->localEndpoint();
+  Self.PeerAddress = Peers->localEndpoint();
+  LogLine Line("listening");
+  Line.field("host", Self.Host.Value)
+      .field("incarnation", Self.Incarnation.Value)
+      .field("caller_address", formatEndpoint(Self.CallerAddress))
+      .field("peer_address", formatEndpoint(Self.PeerAddress))
+      .field("admin_address", formatEndpoint(Self.AdminAddress));
+  Decisions->write(Line);
+  return outcome::success();
+}
+
+// A host is handed out once it has a manifest and had time to hear whether its
+// peers have a newer one.
+void HostDaemon::updateReadiness() {
+  auto &Members = *Kernel.find<MemberTable>("members").value();
+  if (Members.Self.State != HostState::Starting ||
+      Members.Self.Manifest.Value == 0 ||
+      TimeSource.now() - Started < PeerHearingTime)
+    return;
+  announceState(Members, HostState::Ready, TimeSource.now());
+  LogLine Line("ready");
+  Line.field("manifest_number", Members.Self.Manifest.Value);
+  Kernel.find<DecisionLog>("decisions").value()->write(Line);
+  Kernel.find<PeerService>("peers").value()->announce();
+}
+
+Awaitable<void> HostDaemon::runMaintenance() {
+  auto &Pool = *Kernel.find<ConnectionPool>("pool").value();
+  auto &Members = *Kernel.find<MemberTable>("members").value();
+  while (true) {
+    MaintenanceTimer.expires_after(MaintenanceInterval);
+    const auto [Code] = co_await MaintenanceTimer.async_wait(UseTuple);
+    if (Code)
+      co_return;
+    Pool.closeExpired();
+    updateReadiness();
+    if (!IsDraining && isSuperseded(Members, TimeSource.now())) {
+      LogLine Line("superseded");
+      Line.field("reason", "a later process runs under the id of this host");
+      Kernel.find<DecisionLog>("decisions").value()->warn(Line);
+      drain();
+    }
+  }
+}
+
+void HostDaemon::drain() {
+  if (IsDraining)
+    return;
+  IsDraining = true;
+  asio::co_spawn(Loop, runDrain(), asio::detached);
+}
+
+Awaitable<void> HostDaemon::runDrain() {
+  auto &Members = *Kernel.find<MemberTable>("members").value();
+  auto &Calls = *Kernel.find<CallService>("calls").value();
+  auto &Callers = *Kernel.find<HttpServer>("caller_listener").value();
+  const auto &Services = *Kernel.find<ServiceTable>("services").value();
+  const TimePoint Now = TimeSource.now();
+  announceState(Members, HostState::Leaving, Now);
+  Callers.endKeepAlive();
+  Kernel.find<PeerService>("peers").value()->announce();
+  LogLine Line("drain");
+  Line.field("calls", std::uint64_t{Calls.activeCalls()});
+  Kernel.find<DecisionLog>("decisions").value()->write(Line);
+
+  const Drain Current{Now, Services.manifest().AddressLifetime,
+                      Configured.DrainTime};
+  Timer Poll(Loop.get_executor());
+  while (true) {
+    const DrainStep Step =
+        drainStep(Current, Callers.activeRequests(), TimeSource.now());
+    if (Step == DrainStep::Exit)
+      break;
+    if (Step == DrainStep::Finish) {
+      Callers.stopAccepting();
+      Callers.closeIdleSessions();
+    }
+    Poll.expires_after(DrainPollInterval);
+    co_await Poll.async_wait(UseTuple);
+  }
+  co_await finishDrain();
+}
+
+Awaitable<void> HostDaemon::finishDrain() {
+  auto &Platform = *Kernel.find<PlatformService>("platform").value();
+  co_await Platform.unregister();
+  LogLine Line("exit");
+  Line.field("reason", "drained");
+  Kernel.find<DecisionLog>("decisions").value()->write(Line);
+  stop();
+}
+
+void HostDaemon::stop() { Loop.stop(); }
+
+void HostDaemon::updateMetrics(Metrics &Figures) const {
+  const auto &Members = *Kernel.find<MemberTable>("members").value();
+  const auto &Keys = *Kernel.find<KeyedCalls>("keys").value();
+  const auto &Mesh = Kernel.find<PeerMesh>("mesh").value()->traffic();
+  const auto &Peers = Kernel.find<PeerServer>("peer_listener").value()->traffic();
+  const auto &Callers = *Kernel.find<HttpServer>("caller_listener").value();
+  Figures.counter("manifest_number") = Members.Self.Manifest.Value;
+  Figures.counter("peers") = Members.Peers.size();
+  Figures.counter("peer_bytes_sent_total") = Mesh.BytesSent + Peers.BytesSent;
+  Figures.counter("peer_bytes_received_total") =
+      Mesh.BytesReceived + Peers.BytesReceived;
+  Figures.counter("peer_frames_dropped_total") = Mesh.FramesDropped;
+  Figures.counter("caller_connections") = Callers.sessions();
+  Figures.counter("calls_in_progress") = Callers.activeRequests();
+  Figures.counter("issuer_records") = Keys.issuerRecords();
+  Figures.counter("witness_records") = Keys.witnessRecords();
+}
+
+} // namespace comfreyrill
--- a/Services/Daemon/KeyedCalls.cpp
+++ b/Services/Daemon/KeyedCalls.cpp
@@ -65,8 +65,8 @@
   const WitnessChoice Chosen =
       chooseWitness(Candidates, Issuer.Self.Host, Environment.HostDomain,
                     Placement, Environment.Generator);
-  const std::string Text = formatKey(
-      issueKey(Issuer, Chosen.Witness, Environment.TimeSource.now()));
+  const std::string Text =
+      formatKey(issueKey(Issuer, Chosen.Witness, Environment.TimeSource.now()));
   constexpr std::string_view KindNames[] = {"as_placed", "elsewhere",
                                             "no_peer"};
   LogLine Line("key_issued");
@@ -83,8 +83,8 @@
     co_return faultyRequestResult(http::status::bad_request, "faulty_key",
                                   Parsed.error().Message);
   const IdempotencyKey Key = Parsed.value();
-  const BeginDecision Decision = beginCall(Issuer, Key, Call.Fingerprint,
-                                           Environment.TimeSource.now());
+  const BeginDecision Decision =
+      beginCall(Issuer, Key, Call.Fingerprint, Environment.TimeSource.now());
   switch (Decision.Verdict) {
   case BeginVerdict::AskWitness:
     co_return co_await askWitness(Call, Key);
@@ -184,18 +184,16 @@
   } else {
     AttemptHooks Hooks;
     Hooks.MayBegin = [this, Key, Deadline = Call.Deadline] {
-      return beginAttempt(Issuer, Key, Deadline,
-                          Environment.TimeSource.now());
+      return beginAttempt(Issuer, Key, Deadline, Environment.TimeSource.now());
     };
     Hooks.ProvedNotRun = [this, Key] { recordAttemptNotRun(Issuer, Key); };
     Result = co_await Call.Run(std::move(Hooks));
   }
-  const SharedOutcome Stored = finishCall(Issuer, Key, toStored(Result),
-                                          Environment.TimeSource.now());
+  const SharedOutcome Stored =
+      finishCall(Issuer, Key, toStored(Result), Environment.TimeSource.now());
   notifyWitness(Key, Stored);
   wakeJoined(Key);
-  if (Result.Kind == Outcome::NotRun &&
-      Stored->Outcome != CallOutcome::NotRun)
+  if (Result.Kind == Outcome::NotRun && Stored->Outcome != CallOutcome::NotRun)
     co_return fromStored(*Stored);
   co_return withNextKey(Call, std::move(Result));
 }
@@ -218,8 +216,8 @@
            Environment.TimeSource.now() < Call.Deadline)
       co_await Entry->Done.async_wait(UseTuple);
   }
-  const BeginDecision Decision = beginCall(Issuer, Key, Call.Fingerprint,
-                                           Environment.TimeSource.now());
+  const BeginDecision Decision =
+      beginCall(Issuer, Key, Call.Fingerprint, Environment.TimeSource.now());
   if (Decision.Verdict == BeginVerdict::Replay)
     co_return withNextKey(Call, fromStored(*Decision.Stored));
   co_return unknownResult("in_flight",
@@ -242,12 +240,11 @@
       Limit = std::min(Limit, Now + SilentIssuerTime);
     HttpRequest Request = Call.Original;
     Request.set(header::Relayed, "1");
-    Request.set(
-        header::TimeoutMilliseconds,
-        std::to_string(std::max<std::int64_t>(
-            1, std::chrono::duration_cast<std::chrono::milliseconds>(Limit -
-                                                                     Now)
-                   .count())));
+    Request.set(header::TimeoutMilliseconds,
+                std::to_string(std::max<std::int64_t>(
+                    1, std::chrono::duration_cast<std::chrono::milliseconds>(
+                           Limit - Now)
+                           .count())));
     log(Call, "relay", Key.Issuer.Host.Value);
     auto Connection = co_await Environment.Pool.acquire(Address->Caller, Limit);
     if (!Connection) {
@@ -288,8 +285,8 @@
     wire::PeerBody Body;
     Body.__set_seal_request(Request);
     const TimePoint Limit = Environment.TimeSource.now() + SealTime;
-    const auto Received = co_await Mesh.request(
-        Address->Peer, std::move(Body), std::min(Call.Deadline, Limit));
+    const auto Received = co_await Mesh.request(Address->Peer, std::move(Body),
+                                                std::min(Call.Deadline, Limit));
     if (Received && Received.value().__isset.seal_reply) {
       auto Converted = fromWire(Received.value().seal_reply);
       if (Converted)
@@ -349,8 +346,7 @@
   Entry->Done.cancel();
 }
 
-wire::PeerBody
-KeyedCalls::onGrantRequest(const wire::GrantRequest &Message) {
+wire::PeerBody KeyedCalls::onGrantRequest(const wire::GrantRequest &Message) {
   wire::PeerBody Body;
   const auto Key = parseKey(Message.key);
   if (!Key) {
--- /dev/null
+++ b/Services/Daemon/PeerService.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "KeyedCalls.h"
+#include "ManifestKeeper.h"
+
+#include <LibMembership/Documents.h>
+#include <LibMembership/Heartbeats.h>
+#include <LibMembership/MemberTable.h>
+#include <LibPeer/PeerServer.h>
+
+namespace comfreyrill {
+
+/// Talks to the other hosts: heartbeats, documents, and the messages of calls
+/// under keys.
+class PeerService : public std::enable_shared_from_this<PeerService> {
+public:
+  PeerService(const ExecutionContext &Environment, MemberTable &Members,
+              ManifestKeeper &Documents, KeyedCalls &Keys, PeerMesh &Mesh);
+
+  /// Starts to send heartbeats.
+  void start();
+  void stop();
+
+  /// Handles one message of another host.
+  void handle(const wire::PeerBody &Body, const PeerReply &Reply);
+
+  /// Tells the other hosts at once what changed on this one.
+  void announce();
+
+private:
+  Awaitable<void> run();
+  void tick();
+  void sendHeartbeats();
+  void onHeartbeat(const wire::Heartbeat &Message);
+  void onDocumentRequest(const wire::DocumentRequest &Message,
+                         const PeerReply &Reply) const;
+  void fetchDocuments();
+  Awaitable<void> fetchDocument(DocumentKind Kind, DocumentSource Source);
+
+  ExecutionContext Environment;
+  MemberTable &Members;
+  ManifestKeeper &Documents;
+  KeyedCalls &Keys;
+  PeerMesh &Mesh;
+  Timer TickTimer;
+  bool IsStopped = false;
+};
+
+/// What calls under keys need to know, read from the member table.
+PeerDirectory makeDirectory(const MemberTable &Members,
+                            const Clock &TimeSource);
+
+} // namespace comfreyrill
--- a/Services/Daemon/ServiceTable.cpp
+++ b/Services/Daemon/ServiceTable.cpp
@@ -37,7 +37,8 @@
   for (const auto &[Name, Runtime] : Services) {
     RoutingState &Routing = Runtime->Routing;
     for (TargetIndex Index = 0; Index < Routing.Targets.size(); ++Index) {
-      const std::string &Address = Routing.Targets[Index].Config.Address.Address;
+      const std::string &Address =
+          Routing.Targets[Index].Config.Address.Address;
       const bool IsLeavingNow = LeavingAddresses.contains(Address);
       // Targets that said themselves that they drain stay as they are.
       if (IsLeavingNow || Before.contains(Address))
--- a/Tests/Daemon/CallPathFixture.h
+++ b/Tests/Daemon/CallPathFixture.h
@@ -16,7 +16,7 @@
   CallPathFixture()
       : Output(LogLevel::Error, ""), Decisions(Loop.get_executor(), Output),
         Pool(Loop.get_executor(), TimeSource, std::chrono::seconds(30)),
-        Services(Loop.get_executor(), TimeSource), Generator(1) {}
+        Services(TimeSource), Generator(1) {}
 
   /// Starts a fake target and adds it to the service "stock".
   Endpoint addTarget(const std::string &Id, TargetHandler Handle) {
@@ -41,10 +41,19 @@
     Manifest Next;
     Next.Services = {Service};
     Services.apply(Next);
-    Calls = std::make_unique<CallService>(
-        ExecutionContext{Loop.get_executor(), TimeSource, Generator, Pool,
-                         Decisions, Figures, FailureDomain("a"), HttpLimits{}},
-        Services, "test-");
+    const ExecutionContext Environment{
+        Loop.get_executor(), TimeSource, Generator, Pool,
+        Decisions,           Figures,    Services,  FailureDomain("a"),
+        HttpLimits{}};
+    Mesh = std::make_shared<PeerMesh>(Loop.get_executor(), TimeSource,
+                                      PeerMeshLimits{}, Random(2));
+    PeerDirectory Nobody;
+    Nobody.Find = [](const HostProcess &) { return std::nullopt; };
+    Nobody.Candidates = [] { return std::vector<WitnessCandidate>(); };
+    Keys = std::make_unique<KeyedCalls>(
+        Environment, HostProcess{HostId("h1"), HostIncarnation{1}}, *Mesh,
+        Nobody);
+    Calls = std::make_unique<CallService>(Environment, *Keys, "test-");
   }
 
   /// Runs one call to its end.
@@ -73,6 +82,8 @@
   Metrics Figures;
   ServiceConfig Service;
   std::vector<std::shared_ptr<HttpServer>> Targets;
+  std::shared_ptr<PeerMesh> Mesh;
+  std::unique_ptr<KeyedCalls> Keys;
   std::unique_ptr<CallService> Calls;
 };
 
