StandIns: Add platform, targets, caller and byte relay

The checks of the daemon need an outside world whose faults can be switched on and whose records can be compared. The stand-ins are one library with four programs on top of LibHttp: the object API with a fault control, targets with slots, queue, slow-downs, crashes and a run book, a caller that judges every answer against its own request, and a bare byte relay as the baseline of processor time.

LibHttp closes a connection without an answer only together with its server, so a lost answer of the platform closes all its connections and listens again on the same port.

--- /dev/null
+++ b/Tests/StandIns/Platform.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "PlatformStore.h"
+#include "Web.h"
+
+#include <memory>
+#include <set>
+
+namespace comfreyrill::standins {
+
+enum class OutageKind { None, Refuse, Unavailable };
+
+/// Faults that the platform shows until they are replaced or their time ends.
+struct PlatformFaults {
+  OutageKind Outage = OutageKind::None;
+  /// Added to each answer.
+  Duration Delay{};
+  /// The next updates that take effect without an answer.
+  std::uint32_t LoseAnswers = 0;
+  /// Reads return a version that lies so many before the newest.
+  std::uint32_t StaleVersions = 0;
+  /// 0 means no end.
+  Duration Length{};
+};
+
+Result<PlatformFaults> parseFaults(const boost::json::object &Object);
+
+/// Calls since the start, by kind.
+struct PlatformCounts {
+  std::uint64_t Reads = 0;
+  std::uint64_t Updates = 0;
+  std::uint64_t Conflicts = 0;
+  std::uint64_t Watches = 0;
+  /// Calls that met an outage of kind Unavailable.
+  std::uint64_t Unavailable = 0;
+};
+
+/// The object API over HTTP with a test control. The control has a listener of
+/// its own, because it must be reachable while connections are refused.
+class Platform : public std::enable_shared_from_this<Platform> {
+public:
+  Platform(const Executor &Context, const Clock &TimeSource);
+
+  Result<void> listen(const Endpoint &Objects, const Endpoint &Control);
+  Endpoint objectsEndpoint() const { return ObjectsAddress; }
+  Endpoint controlEndpoint() const { return ControlServer->localEndpoint(); }
+
+  Awaitable<HttpResponse> handle(HttpRequest Request,
+                                 std::shared_ptr<Disconnect> CallerLeft);
+  void setFaults(const PlatformFaults &NewFaults);
+  void close();
+
+  PlatformStore &store() { return Store; }
+  const PlatformCounts &counts() const { return Counts; }
+  std::size_t pendingWatches() const { return Watchers.size(); }
+
+private:
+  struct Watcher;
+
+  Result<void> openObjects();
+  void closeObjects();
+  Awaitable<HttpResponse> handleObject(HttpRequest Request,
+                                       std::shared_ptr<Disconnect> CallerLeft,
+                                       RequestTarget Target);
+  HttpResponse handleControl(const HttpRequest &Request,
+                             const RequestTarget &Target);
+  HttpResponse read(const std::string &Key);
+  HttpResponse update(const std::string &Key, const HttpRequest &Request);
+  Awaitable<HttpResponse> watch(std::string Key, RequestTarget Target,
+                                std::shared_ptr<Disconnect> CallerLeft);
+  void wakeWatchers(const std::string &Key);
+
+  Executor Context;
+  const Clock &TimeSource;
+  PlatformStore Store;
+  PlatformFaults Faults;
+  PlatformCounts Counts;
+  std::map<std::string, std::uint64_t> CallsByKey;
+  Endpoint ObjectsAddress;
+  std::shared_ptr<HttpServer> ObjectsServer;
+  std::shared_ptr<HttpServer> ControlServer;
+  Timer FaultsTimer;
+  std::set<std::shared_ptr<Watcher>> Watchers;
+};
+
+} // namespace comfreyrill::standins
--- /dev/null
+++ b/Tests/StandIns/Target.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "RunBook.h"
+#include "TargetBehaviour.h"
+
+#include <deque>
+#include <memory>
+#include <unordered_set>
+
+namespace comfreyrill::standins {
+
+/// One target with a listener of its own.
+class Target : public std::enable_shared_from_this<Target> {
+public:
+  Target(const Executor &Context, const Clock &TimeSource, RunBook &Book,
+         std::string Id, const TargetBehaviour &Behaviour,
+         const Random &Generator);
+
+  Result<void> listen(const Endpoint &Requested);
+  Endpoint endpoint() const { return Local; }
+  const std::string &id() const { return Id; }
+  TargetBehaviour &behaviour() { return Behaviour; }
+
+  /// Closes all connections, ends all runs and listens again after the down
+  /// time, or ends the process, as the behaviour says.
+  void crash();
+  void close();
+
+  /// Handles one request as the listener does.
+  Awaitable<HttpResponse> handle(HttpRequest Request,
+                                 std::shared_ptr<Disconnect> CallerLeft);
+
+  std::size_t inFlight() const { return InFlight; }
+  std::size_t queued() const { return Waiting.size(); }
+
+private:
+  struct Work;
+  struct ReportedLoad {
+    TimePoint Since;
+    std::size_t InFlight = 0;
+    std::size_t Queued = 0;
+  };
+
+  Result<void> openServer();
+  Awaitable<HttpResponse> runRequest(HttpRequest Request, RequestTarget Parts,
+                                     std::shared_ptr<Disconnect> CallerLeft);
+  Awaitable<void> waitForSlot(std::shared_ptr<Work> Current,
+                              TimePoint Deadline);
+  Awaitable<RunEnd> work(std::shared_ptr<Work> Current, TimePoint Deadline);
+  void releaseSlot();
+  void loadChanged();
+  ReportedLoad reportedLoad() const;
+  HttpResponse withLoad(HttpResponse Response) const;
+
+  Executor Context;
+  const Clock &TimeSource;
+  RunBook &Book;
+  std::string Id;
+  TargetBehaviour Behaviour;
+  Random Generator;
+  SpeedProfile Speed;
+  Endpoint Local;
+  std::shared_ptr<HttpServer> Server;
+  Timer DownTimer;
+  std::size_t InFlight = 0;
+  std::deque<std::shared_ptr<Work>> Waiting;
+  std::unordered_set<std::shared_ptr<Work>> Active;
+  // Loads of the past, for lagging reports.
+  std::deque<ReportedLoad> LoadHistory;
+};
+
+} // namespace comfreyrill::standins
--- /dev/null
+++ b/Tests/StandIns/TestTarget.cpp
@@ -0,0 +1,163 @@
+#include "AnswerCheck.h"
+#include "Target.h"
+
+#include <gtest/gtest.h>
+
+namespace comfreyrill::standins {
+namespace {
+
+/// A target whose requests run until they are stopped.
+struct TargetTest : testing::Test {
+  asio::io_context Context;
+  SystemClock TimeSource;
+  RunBook Book;
+  std::shared_ptr<Target> Server;
+
+  struct Pending {
+    std::shared_ptr<Disconnect> CallerLeft = std::make_shared<Disconnect>();
+    std::optional<HttpResponse> Response;
+  };
+
+  void start(Duration ServiceTime, std::uint32_t Slots, std::uint32_t Queue) {
+    TargetBehaviour Behaviour;
+    Behaviour.ServiceTime = ServiceTimeKind::Fixed;
+    Behaviour.MeanTime = ServiceTime;
+    Behaviour.Slots = Slots;
+    Behaviour.Queue = Queue;
+    Server = std::make_shared<Target>(Context.get_executor(), TimeSource, Book,
+                                      "t1", Behaviour, Random(7));
+  }
+
+  void poll() {
+    Context.restart();
+    Context.poll();
+  }
+
+  std::shared_ptr<Pending> send(const std::string &Path,
+                                const std::string &Key = "") {
+    HttpRequest Request(http::verb::post, Path, 11);
+    Request.set("Idempotency-Key", Key);
+    Request.set("Comfreyrill-Request-Id", "r-" + Key);
+    auto Call = std::make_shared<Pending>();
+    asio::co_spawn(Context,
+                   Server->handle(std::move(Request), Call->CallerLeft),
+                   [Call](const std::exception_ptr &, HttpResponse Response) {
+                     Call->Response = std::move(Response);
+                   });
+    poll();
+    return Call;
+  }
+};
+
+constexpr Duration Forever = std::chrono::hours(1);
+
+// Guards against a book that lacks a run or counts one twice: double runs would
+// go unseen, or correct hosts would be accused.
+TEST_F(TargetTest, EachStartIsRecordedOnce) {
+  start(Duration::zero(), 2, 0);
+  send("/checkout?token=a", "k1");
+  const auto Second = send("/checkout?token=a", "k1");
+  ASSERT_EQ(Book.runs().size(), 2U);
+  EXPECT_EQ(Book.runs()[1].Token, "a");
+  EXPECT_EQ(Book.runs()[1].IdempotencyKey, "k1");
+  EXPECT_EQ(Book.runs()[1].RequestId, "r-k1");
+  EXPECT_EQ(Book.runs()[1].End, RunEnd::Answered);
+  ASSERT_TRUE(Second->Response);
+  EXPECT_EQ(Second->Response->body(), expectedAnswer("a", 0));
+}
+
+// Guards against a shed request that is recorded as run: a true "not run" would
+// be counted as false.
+TEST_F(TargetTest, ShedRequestHasNoRun) {
+  start(Forever, 1, 0);
+  const auto First = send("/checkout?token=a", "k1");
+  const auto Second = send("/checkout?token=b", "k2");
+  ASSERT_TRUE(Second->Response);
+  EXPECT_EQ(Second->Response->result(), http::status::service_unavailable);
+  EXPECT_EQ((*Second->Response)["Comfreyrill-Shed"], "before-start");
+  ASSERT_EQ(Book.runs().size(), 1U);
+  EXPECT_EQ(Book.runs()[0].Token, "a");
+  First->CallerLeft->notify();
+  poll();
+}
+
+// Guards against a cancelled request that keeps its slot, and against one that
+// is cancelled in the queue and recorded as run.
+TEST_F(TargetTest, CancellationFreesTheSlotAndLeavesTheQueue) {
+  start(Forever, 1, 4);
+  const auto First = send("/checkout?token=a", "k1");
+  const auto Second = send("/checkout?token=b", "k2");
+  const auto Third = send("/checkout?token=c", "k3");
+  EXPECT_EQ(Server->queued(), 2U);
+  Second->CallerLeft->notify();
+  poll();
+  EXPECT_EQ(Server->queued(), 1U);
+  First->CallerLeft->notify();
+  poll();
+  ASSERT_EQ(Book.runs().size(), 2U);
+  EXPECT_EQ(Book.runs()[0].End, RunEnd::Cancelled);
+  EXPECT_EQ(Book.runs()[1].Token, "c");
+  EXPECT_EQ(Server->inFlight(), 1U);
+  Third->CallerLeft->notify();
+  poll();
+  EXPECT_EQ(Server->inFlight(), 0U);
+}
+
+// Guards against a crash that loses the run it interrupts, or starts one that
+// was queued.
+TEST_F(TargetTest, CrashEndsRunsAndStartsNone) {
+  start(Forever, 2, 4);
+  ASSERT_TRUE(Server->listen({"127.0.0.1", 0}));
+  send("/checkout?token=a", "k1");
+  send("/checkout?token=b&crash=1", "k2");
+  send("/checkout?token=c", "k3");
+  Server->close();
+  poll();
+  ASSERT_GE(Book.runs().size(), 2U);
+  EXPECT_EQ(Book.runs()[0].End, RunEnd::Crashed);
+  EXPECT_EQ(Book.runs()[1].End, RunEnd::Crashed);
+  EXPECT_EQ(Server->inFlight(), 0U);
+}
+
+// Guards against reports that are always true, with which no check of a lying
+// target would check anything.
+TEST_F(TargetTest, LyingTargetReportsNoLoad) {
+  start(Forever, 2, 4);
+  const auto First = send("/checkout?token=a", "k1");
+  const auto Truthful = send("/load");
+  EXPECT_EQ((*Truthful->Response)["Comfreyrill-Load"],
+            "in_flight=1;slots=2;queued=0");
+  Server->behaviour().LoadReport = LoadReportKind::Lying;
+  const auto Lying = send("/load");
+  EXPECT_EQ((*Lying->Response)["Comfreyrill-Load"],
+            "in_flight=0;slots=2;queued=0");
+  First->CallerLeft->notify();
+  poll();
+}
+
+// Guards against slow-downs without effect or without end.
+TEST(SpeedProfile, SlowDownsTakeTheirShareOfTime) {
+  TargetBehaviour Behaviour;
+  Behaviour.SlowDownEvery = std::chrono::milliseconds(150);
+  Behaviour.SlowDownLength = std::chrono::milliseconds(50);
+  SpeedProfile Profile;
+  Random Generator(3);
+  const TimePoint Begin{std::chrono::hours(1)};
+  Profile.restart(Begin);
+  TimePoint Now = Begin;
+  const TimePoint End = Begin + std::chrono::seconds(100);
+  Duration Slow{};
+  while (Now < End) {
+    const auto Segment = Profile.at(Behaviour, Now, Generator);
+    ASSERT_GT(Segment.Until, Now);
+    if (Segment.Speed < 1)
+      Slow += Segment.Until - Now;
+    Now = Segment.Until;
+  }
+  const double Share = static_cast<double>(Slow.count()) /
+                       static_cast<double>((Now - Begin).count());
+  EXPECT_NEAR(Share, 0.25, 0.05);
+}
+
+} // namespace
+} // namespace comfreyrill::standins
