Daemon: Add settings, peers, platform, admin endpoints and program

Cause: the call path has to run as processes that find each other. Change: comfreyrilld with checked settings, three listeners, heartbeats, documents from platform and peers, calls under keys, status, decisions, metrics and drain. The composition root registers services by name.

--- a/Services/Daemon/AdminApi.cpp
+++ b/Services/Daemon/AdminApi.cpp
@@ -78,8 +78,8 @@
       UpdateMetrics(std::move(UpdateMetrics)),
       StartDrain(std::move(StartDrain)) {}
 
-Awaitable<HttpResponse>
-AdminApi::handle(HttpRequest Request, std::shared_ptr<Disconnect> /*Left*/) {
+Awaitable<HttpResponse> AdminApi::handle(HttpRequest Request,
+                                         std::shared_ptr<Disconnect> /*Left*/) {
   const std::string Target(Request.target());
   const std::string Path = Target.substr(0, Target.find('?'));
   const bool IsGet = Request.method() == http::verb::get;
--- a/Services/Daemon/HostApi.cpp
+++ b/Services/Daemon/HostApi.cpp
@@ -36,8 +36,8 @@
                  KeyedCalls &Keys, const MemberTable &Members)
     : Environment(Environment), Calls(Calls), Keys(Keys), Members(Members) {}
 
-Awaitable<HttpResponse> HostApi::handle(HttpRequest Request,
-                                        std::shared_ptr<Disconnect> CallerLeft) {
+Awaitable<HttpResponse>
+HostApi::handle(HttpRequest Request, std::shared_ptr<Disconnect> CallerLeft) {
   const std::string Target(Request.target());
   if (Target.starts_with(CallPrefix))
     co_return co_await Calls.handle(std::move(Request), std::move(CallerLeft));
@@ -78,8 +78,8 @@
       chooseAddresses(Members, AddressesPerAnswer, Environment.TimeSource.now(),
                       Environment.Generator);
   if (Chosen.empty())
-    return errorResponse({ErrorKind::Unavailable,
-                          "no host is ready; ask again in a second"});
+    return errorResponse(
+        {ErrorKind::Unavailable, "no host is ready; ask again in a second"});
 
   boost::json::array Texts;
   std::string Logged;
--- a/Services/Daemon/HostDaemon.cpp
+++ b/Services/Daemon/HostDaemon.cpp
@@ -1,5 +1,7 @@
 #include "HostDaemon.h"
 
+#include <LibCore/Hash.h>
+
 namespace comfreyrill {
 
 namespace {
@@ -66,9 +68,9 @@
                  std::make_shared<ManifestKeeper>(*Services, *Decisions)));
   TRY(Kernel.add("pool", std::make_shared<ConnectionPool>(Context, TimeSource,
                                                           PoolIdleTime)));
-  TRY(Kernel.add("mesh", std::make_shared<PeerMesh>(
-                             Context, TimeSource, PeerMeshLimits{},
-                             systemRandom())));
+  TRY(Kernel.add("mesh",
+                 std::make_shared<PeerMesh>(Context, TimeSource,
+                                            PeerMeshLimits{}, systemRandom())));
   return outcome::success();
 }
 
@@ -93,9 +95,9 @@
       environment(), HostProcess{Self.Host, Self.Incarnation}, *Mesh,
       makeDirectory(*Members, TimeSource));
   // The incarnation in the prefix keeps request ids of a restarted host apart.
-  const std::string Prefix =
-      Self.Host.Value + "-" +
-      hexadecimal(Self.Incarnation.Value).substr(0, 8) + "-";
+  const std::string Prefix = Self.Host.Value + "-" +
+                             hexadecimal(Self.Incarnation.Value).substr(0, 8) +
+                             "-";
   const auto Calls =
       std::make_shared<CallService>(environment(), *Keys, Prefix);
   TRY(Kernel.add("keys", Keys));
@@ -110,8 +112,8 @@
   TRY(const auto Documents, Kernel.find<ManifestKeeper>("documents"));
   TRY(const auto Keys, Kernel.find<KeyedCalls>("keys"));
   TRY(const auto Mesh, Kernel.find<PeerMesh>("mesh"));
-  const auto Peers = std::make_shared<PeerService>(
-      environment(), *Members, *Documents, *Keys, *Mesh);
+  const auto Peers = std::make_shared<PeerService>(environment(), *Members,
+                                                   *Documents, *Keys, *Mesh);
   const auto Platform = std::make_shared<PlatformService>(
       environment(), Configured.Platform, *Members, *Documents,
       [Peers] { Peers->announce(); });
@@ -154,7 +156,8 @@
       unreadableRequest);
   const auto PeerListener = std::make_shared<PeerServer>(
       Context, TimeSource, PeerServerLimits{},
-      [Peers = Peers.get()](const wire::PeerBody &Body, const PeerReply &Reply) {
+      [Peers = Peers.get()](const wire::PeerBody &Body,
+                            const PeerReply &Reply) {
         Peers->handle(Body, Reply);
       });
   TRY(Kernel.add("caller_listener", Callers));
@@ -273,7 +276,8 @@
   const auto &Members = *Kernel.find<MemberTable>("members").value();
   const auto &Keys = *Kernel.find<KeyedCalls>("keys").value();
   const auto &Mesh = Kernel.find<PeerMesh>("mesh").value()->traffic();
-  const auto &Peers = Kernel.find<PeerServer>("peer_listener").value()->traffic();
+  const auto &Peers =
+      Kernel.find<PeerServer>("peer_listener").value()->traffic();
   const auto &Callers = *Kernel.find<HttpServer>("caller_listener").value();
   Figures.counter("manifest_number") = Members.Self.Manifest.Value;
   Figures.counter("peers") = Members.Peers.size();
--- a/Services/Daemon/PeerService.cpp
+++ b/Services/Daemon/PeerService.cpp
@@ -94,8 +94,8 @@
     return;
   }
   const HostDescription &Sender = Content.value().Sender;
-  const HeartbeatVerdict Verdict = observeHeartbeat(
-      Members, Content.value(), Environment.TimeSource.now());
+  const HeartbeatVerdict Verdict =
+      observeHeartbeat(Members, Content.value(), Environment.TimeSource.now());
   if (Verdict != HeartbeatVerdict::Accepted &&
       Verdict != HeartbeatVerdict::Joined)
     return;
@@ -138,9 +138,8 @@
 void PeerService::fetchDocuments() {
   for (const DocumentKind Kind :
        {DocumentKind::Manifest, DocumentKind::FleetList}) {
-    auto Source =
-        chooseDocumentSource(Members, Kind, Environment.TimeSource.now(),
-                             Environment.Generator);
+    auto Source = chooseDocumentSource(
+        Members, Kind, Environment.TimeSource.now(), Environment.Generator);
     if (Source)
       asio::co_spawn(
           Environment.Context,
@@ -160,18 +159,17 @@
       IsManifest ? Documents.number().Value : Documents.fleetVersion()));
   wire::PeerBody Body;
   Body.__set_document_request(Request);
-  const auto Reply =
-      co_await Mesh.request(Source.Remote, std::move(Body),
-                            Environment.TimeSource.now() + FetchTime);
+  const auto Reply = co_await Mesh.request(
+      Source.Remote, std::move(Body), Environment.TimeSource.now() + FetchTime);
   if (!Reply || !Reply.value().__isset.document_reply)
     co_return;
   const wire::DocumentReply &Document = Reply.value().document_reply;
   const std::string From = "peer:" + Source.Host.Value;
   const auto Offered =
-      IsManifest ? Documents.offerManifest(Document.value, From)
-                 : Documents.offerFleet(
-                       static_cast<std::uint64_t>(Document.number),
-                       Document.value, From);
+      IsManifest
+          ? Documents.offerManifest(Document.value, From)
+          : Documents.offerFleet(static_cast<std::uint64_t>(Document.number),
+                                 Document.value, From);
   if (!Offered) {
     LogLine Line("document_refused");
     Line.field("name", documentName(Kind))
@@ -184,17 +182,17 @@
 PeerDirectory makeDirectory(const MemberTable &Members,
                             const Clock &TimeSource) {
   PeerDirectory Directory;
-  Directory.Find = [&Members, &TimeSource](const HostProcess &Wanted)
-      -> std::optional<PeerAddresses> {
+  Directory.Find =
+      [&Members,
+       &TimeSource](const HostProcess &Wanted) -> std::optional<PeerAddresses> {
     const Peer *Found = findPeer(Members, Wanted.Host);
     if (Found == nullptr ||
         Found->Description.Incarnation != Wanted.Incarnation ||
         !Found->Description.isComplete())
       return std::nullopt;
-    return PeerAddresses{Found->Description.PeerAddress,
-                         Found->Description.CallerAddress,
-                         liveness(Members, *Found, TimeSource.now()) ==
-                             Liveness::Alive};
+    return PeerAddresses{
+        Found->Description.PeerAddress, Found->Description.CallerAddress,
+        liveness(Members, *Found, TimeSource.now()) == Liveness::Alive};
   };
   Directory.Candidates = [&Members, &TimeSource] {
     std::vector<WitnessCandidate> Candidates;
--- /dev/null
+++ b/Services/Daemon/PlatformService.cpp
@@ -0,0 +1,245 @@
+#include "PlatformService.h"
+
+#include "AdminApi.h"
+#include "HostsCodec.h"
+
+#include <LibManifest/HostReport.h>
+#include <LibMembership/Observe.h>
+
+namespace comfreyrill {
+
+namespace {
+
+constexpr Duration WatchTime = std::chrono::seconds(30);
+// A host learns within this time that it has become a watcher.
+constexpr Duration RoleCheckInterval = std::chrono::milliseconds(250);
+constexpr Duration ReportInterval = std::chrono::seconds(2);
+constexpr Duration FirstRetryDelay = std::chrono::milliseconds(200);
+constexpr Duration HostsMaintenanceInterval = std::chrono::seconds(30);
+constexpr std::size_t UpdateTries = 12;
+constexpr Duration UnregisterTime = std::chrono::seconds(3);
+constexpr const char HostsKey[] = "hosts";
+constexpr const char ReportKey[] = "report";
+
+std::string_view livenessName(const HostStatus &Status) {
+  switch (Status.State) {
+  case Liveness::Alive:
+    return hostStateName(Status.Description.State);
+  case Liveness::Unheard:
+  case Liveness::Suspect:
+    return "suspect";
+  case Liveness::Lost:
+    return "lost";
+  }
+  return "lost";
+}
+
+} // namespace
+
+PlatformService::PlatformService(const ExecutionContext &Environment,
+                                 std::vector<Endpoint> Endpoints,
+                                 MemberTable &Members,
+                                 ManifestKeeper &Documents,
+                                 std::function<void()> Announce)
+    : Environment(Environment), Objects(Environment, std::move(Endpoints)),
+      Members(Members), Documents(Documents), Announce(std::move(Announce)) {}
+
+void PlatformService::start() {
+  for (const Document Followed : {Document::Manifest, Document::Fleet})
+    asio::co_spawn(
+        Environment.Context,
+        [Self = shared_from_this(), Followed] {
+          return Self->followDocument(Followed);
+        },
+        asio::detached);
+  asio::co_spawn(
+      Environment.Context,
+      [Self = shared_from_this()] { return Self->maintainHosts(); },
+      asio::detached);
+  asio::co_spawn(
+      Environment.Context,
+      [Self = shared_from_this()] { return Self->writeReports(); },
+      asio::detached);
+}
+
+Awaitable<void> PlatformService::pause(Duration Length) {
+  Timer Wait(Environment.Context);
+  Wait.expires_after(Length);
+  co_await Wait.async_wait(UseTuple);
+}
+
+void PlatformService::noteReached(bool IsReached) {
+  if (announcePlatform(Members, IsReached, Environment.TimeSource.now())) {
+    LogLine Line("platform");
+    Line.field("state", IsReached ? "reached" : "unavailable");
+    Environment.Decisions.write(Line);
+    Announce();
+  }
+}
+
+void PlatformService::offer(Document Followed, const PlatformObject &Object) {
+  const auto Offered =
+      Followed == Document::Manifest
+          ? Documents.offerManifest(Object.Value, "platform")
+          : Documents.offerFleet(Object.Version, Object.Value, "platform");
+  if (!Offered) {
+    LogLine Line("document_refused");
+    Line.field("name", Followed == Document::Manifest ? "manifest" : "fleet")
+        .field("source", "platform")
+        .field("cause", Offered.error().Message);
+    Environment.Decisions.warn(Line);
+    return;
+  }
+  if (Followed == Document::Fleet && Offered.value()) {
+    std::vector<FleetEntry> Machines;
+    for (const FleetMachine &Machine : Documents.fleet().Machines)
+      Machines.push_back({Machine.Host, Machine.State == FleetState::Leaving});
+    observeFleetList(Members, Machines);
+  }
+}
+
+// Watchers keep one call pending; the other hosts read rarely and learn of
+// changes from heartbeats.
+Awaitable<void> PlatformService::followDocument(Document Followed) {
+  ObjectVersion Version;
+  TimePoint NextRead = Environment.TimeSource.now();
+  Duration RetryDelay = FirstRetryDelay;
+  while (true) {
+    const TimePoint Now = Environment.TimeSource.now();
+    const PlatformPlan Plan = platformPlan(Members, Now);
+    const bool IsWatch = Plan.IsWatcher && Version.has_value();
+    if (!Plan.IsWatcher && Now < NextRead) {
+      co_await pause(std::min(RoleCheckInterval, NextRead - Now));
+      continue;
+    }
+    co_await refresh(Followed, Version, IsWatch);
+    NextRead = Environment.TimeSource.now() + Plan.PollInterval;
+    if (Members.Self.ReachesPlatform) {
+      RetryDelay = FirstRetryDelay;
+      // An object that does not exist cannot be waited for.
+      if (!Version)
+        co_await pause(RoleCheckInterval);
+      continue;
+    }
+    RetryDelay = std::min(RetryDelay * 2, ReportInterval);
+    co_await pause(RetryDelay);
+  }
+}
+
+Awaitable<void> PlatformService::refresh(Document Followed,
+                                         ObjectVersion &Version, bool IsWatch) {
+  const std::string Key = Followed == Document::Manifest ? "manifest" : "fleet";
+  Result<std::optional<PlatformObject>> Received =
+      Error{ErrorKind::Internal, ""};
+  if (IsWatch)
+    Received = co_await Objects.watch(Key, Version, WatchTime);
+  else
+    Received = co_await Objects.read(Key);
+  noteReached(Received.has_value());
+  if (!Received || !Received.value())
+    co_return;
+  Version = Received.value()->Version;
+  offer(Followed, *Received.value());
+}
+
+Awaitable<void> PlatformService::maintainHosts() {
+  const auto Register = [this](HostsObject &Object) {
+    learnHosts(Members, Object, Environment.TimeSource.now());
+    return mergeOwnEntry(Object, Members.Self);
+  };
+  while (Members.Self.State != HostState::Leaving) {
+    const bool IsDone = co_await updateHosts(Register);
+    if (!IsDone) {
+      co_await pause(ReportInterval);
+      continue;
+    }
+    const TimePoint Now = Environment.TimeSource.now();
+    co_await pause(std::max(platformPlan(Members, Now).PollInterval,
+                            HostsMaintenanceInterval));
+    if (isReporter(Members, Environment.TimeSource.now()))
+      co_await updateHosts([this](HostsObject &Object) {
+        const TimePoint Then = Environment.TimeSource.now();
+        learnHosts(Members, Object, Then);
+        return dropGoneHosts(Object, Members, Then);
+      });
+  }
+}
+
+Awaitable<bool>
+PlatformService::updateHosts(std::function<bool(HostsObject &)> Change) {
+  for (std::size_t Try = 0; Try < UpdateTries; ++Try) {
+    const auto Received = co_await Objects.read(HostsKey);
+    if (!Received)
+      co_return false;
+    HostsObject Object;
+    ObjectVersion Version;
+    if (Received.value()) {
+      Version = Received.value()->Version;
+      auto Parsed = parseHosts(Received.value()->Value);
+      // An object that cannot be read is written anew; each host then adds
+      // itself again.
+      if (Parsed)
+        Object = std::move(Parsed.value());
+    }
+    if (!Change(Object))
+      co_return true;
+    const auto Written =
+        co_await Objects.update(HostsKey, Version, formatHosts(Object));
+    if (Written)
+      co_return true;
+    // After a lost answer the next read shows whether the change took effect.
+    co_await pause(registrationDelay(Try, Environment.Generator));
+  }
+  co_return false;
+}
+
+Awaitable<void> PlatformService::writeReports() {
+  while (true) {
+    co_await pause(ReportInterval);
+    if (isReporter(Members, Environment.TimeSource.now()))
+      co_await writeReport();
+    else
+      LastReport.clear();
+  }
+}
+
+Awaitable<void> PlatformService::writeReport() {
+  HostReport Report;
+  for (const HostStatus &Status :
+       reportHosts(Members, Environment.TimeSource.now()))
+    Report.Hosts.push_back(
+        {Status.Description.Host, Status.Description.Incarnation,
+         std::string(livenessName(Status)), Status.Description.Manifest,
+         Status.Description.AdminAddress});
+  const std::string Text = formatHostReport(Report);
+  if (Text == LastReport)
+    co_return;
+  if (LastReport.empty()) {
+    const auto Received = co_await Objects.read(ReportKey);
+    if (!Received)
+      co_return;
+    ReportVersion = Received.value() ? ObjectVersion(Received.value()->Version)
+                                     : std::nullopt;
+  }
+  const auto Written = co_await Objects.update(ReportKey, ReportVersion, Text);
+  if (Written) {
+    ReportVersion = Written.value();
+    LastReport = Text;
+  } else {
+    LastReport.clear();
+  }
+}
+
+Awaitable<void> PlatformService::unregister() {
+  const TimePoint Limit = Environment.TimeSource.now() + UnregisterTime;
+  while (Environment.TimeSource.now() < Limit) {
+    const bool IsDone = co_await updateHosts([this](HostsObject &Object) {
+      return removeOwnEntry(Object, Members.Self);
+    });
+    if (IsDone)
+      co_return;
+    co_await pause(FirstRetryDelay);
+  }
+}
+
+} // namespace comfreyrill
--- a/Services/Daemon/PlatformService.h
+++ b/Services/Daemon/PlatformService.h
@@ -2,8 +2,11 @@
 
 #include "CallExecution.h"
 #include "ManifestKeeper.h"
+#include "PlatformObjects.h"
 
+#include <LibMembership/HostsObject.h>
 #include <LibMembership/MemberTable.h>
+#include <LibMembership/Roles.h>
 
 #include <functional>
 #include <vector>
@@ -23,7 +26,29 @@
   Awaitable<void> unregister();
 
 private:
+  enum class Document { Manifest, Fleet };
+
+  Awaitable<void> followDocument(Document Followed);
+  Awaitable<void> refresh(Document Followed, ObjectVersion &Version,
+                          bool IsWatch);
+  Awaitable<void> maintainHosts();
+  Awaitable<void> refreshHosts();
+  Awaitable<void> writeReports();
+  Awaitable<void> writeReport();
+  /// Changes the object `hosts` until the change has taken effect or is not
+  /// needed, at most a few times.
+  Awaitable<bool> updateHosts(std::function<bool(HostsObject &)> Change);
+  void offer(Document Followed, const PlatformObject &Object);
+  void noteReached(bool IsReached);
+  Awaitable<void> pause(Duration Length);
+
   ExecutionContext Environment;
+  PlatformObjects Objects;
+  MemberTable &Members;
+  ManifestKeeper &Documents;
+  std::function<void()> Announce;
+  std::string LastReport;
+  ObjectVersion ReportVersion;
 };
 
 } // namespace comfreyrill
--- a/Services/Daemon/main.cpp
+++ b/Services/Daemon/main.cpp
@@ -1,6 +1,7 @@
 #include "HostDaemon.h"
 #include "Version.h"
 
+#include <csignal>
 #include <docopt/docopt.h>
 #include <iostream>
 
@@ -56,11 +57,10 @@
 } // namespace
 
 int main(int ArgumentCount, char **Arguments) {
-  const auto Options = docopt::docopt(
-      Usage, {Arguments + 1, Arguments + ArgumentCount}, true,
-      "comfreyrilld " + std::string(ProgramVersion));
-  const auto Configured =
-      readSettings(Options.at("--settings").asString());
+  const auto Options =
+      docopt::docopt(Usage, {Arguments + 1, Arguments + ArgumentCount}, true,
+                     "comfreyrilld " + std::string(ProgramVersion));
+  const auto Configured = readSettings(Options.at("--settings").asString());
   if (!Configured) {
     std::cerr << "comfreyrilld: " << Configured.error().Message << '\n';
     return ExitInvalidSettings;
--- a/Tests/StandIns/Caller.cpp
+++ b/Tests/StandIns/Caller.cpp
@@ -142,7 +142,10 @@
 
 Awaitable<bool> Caller::takeKey(std::shared_ptr<Call> Current) {
   for (std::uint32_t Number = 0; Keys.empty() && Number < 4; ++Number) {
-    if (!co_await fetchKeys(chooseAddress(Call{}, Number))) {
+    // g++ 12 destroys a temporary in a condition that awaits twice.
+    const Endpoint Host = chooseAddress(Call{}, Number);
+    const bool IsFetched = co_await fetchKeys(Host);
+    if (!IsFetched) {
       Timer Pause(Context);
       Pause.expires_after(backOff(Number));
       co_await Pause.async_wait(UseTuple);
