LibJson: Write JSON for people and ignore fields of other versions

Cause: operators read manifests and status as text, and a client must read the status of a host that runs a newer version. Change: prettyJson keeps small objects on one line and numberText writes 0.1 instead of 1E-1. finish() can ignore unknown fields. matchingText reads text with a rule of its own; arrays can be without a maximum.

--- a/Libraries/LibJson/JsonDocument.cpp
+++ b/Libraries/LibJson/JsonDocument.cpp
@@ -106,8 +106,9 @@
     ++FaultsBeyondLimit;
 }
 
-Result<void> JsonDocument::finish(std::string_view What) {
-  reportUnknownFields();
+Result<void> JsonDocument::finish(std::string_view What, UnknownFields Policy) {
+  if (Policy == UnknownFields::Refuse)
+    reportUnknownFields();
   if (Faults.empty())
     return outcome::success();
   Error Cause = faultsToError(Faults, What);
--- a/Libraries/LibJson/JsonDocument.h
+++ b/Libraries/LibJson/JsonDocument.h
@@ -47,6 +47,10 @@
   bool Required = false;
 };
 
+/// What to do with fields that no reader asked for. Ignore them in answers of
+/// processes that may run another version; refuse them in what people write.
+enum class UnknownFields { Refuse, Ignore };
+
 /// A JSON text and the faults found in it so far. Text that is no JSON, is too
 /// large or too deep, or repeats a field has faults from the start; reading it
 /// then yields nothing and is safe. Readers refer to the document, which must
@@ -63,10 +67,12 @@
   /// Adds a fault that a reader cannot know of, such as a cross check.
   void addFault(JsonFault Fault);
 
-  /// Reports each field that no reader asked for, then returns all faults as
-  /// one error. Call it once, after everything has been read. The kind is
-  /// TooLarge for a text above the size limit and InvalidInput otherwise.
-  Result<void> finish(std::string_view What);
+  /// Reports each field that no reader asked for, unless they are ignored, then
+  /// returns all faults as one error. Call it once, after everything has been
+  /// read. The kind is TooLarge for a text above the size limit and
+  /// InvalidInput otherwise.
+  Result<void> finish(std::string_view What,
+                      UnknownFields Policy = UnknownFields::Refuse);
 
   /// Faults so far; those for unknown fields are added by finish.
   const std::vector<JsonFault> &faults() const { return Faults; }
--- a/Libraries/LibJson/JsonReader.cpp
+++ b/Libraries/LibJson/JsonReader.cpp
@@ -1,4 +1,5 @@
 #include <LibJson/JsonReader.h>
+#include <LibJson/JsonText.h>
 #include <LibJson/NearestName.h>
 
 #include <algorithm>
@@ -31,19 +32,13 @@
     return "an array of " + std::to_string(Value.get_array().size());
   case json::kind::string:
     return shortened(json::serialize(Value));
+  case json::kind::double_:
+    return numberText(Value.get_double());
   default:
     return json::serialize(Value);
   }
 }
 
-std::string formatNumber(double Value) {
-  std::string Text = std::to_string(Value);
-  Text.erase(Text.find_last_not_of('0') + 1);
-  if (Text.back() == '.')
-    Text.pop_back();
-  return Text;
-}
-
 double milliseconds(Duration Time) {
   return std::chrono::duration<double, std::milli>(Time).count();
 }
@@ -105,8 +100,11 @@
 bool JsonReader::array(
     std::size_t MinimumCount, std::size_t MaximumCount,
     const std::function<void(JsonReader Element)> &ReadElement) {
-  const std::string Allowed =
-      "an array of " + countRange(MinimumCount, MaximumCount) + " elements";
+  std::string Allowed = "an array";
+  if (MaximumCount != NoMaximum)
+    Allowed += " of " + countRange(MinimumCount, MaximumCount) + " elements";
+  else if (MinimumCount > 0)
+    Allowed += " of at least " + std::to_string(MinimumCount);
   if (!begin(Allowed))
     return false;
   const json::array *Array = Value->if_array();
@@ -120,28 +118,32 @@
 
 bool JsonReader::string(std::string &Out, std::size_t MinimumBytes,
                         std::size_t MaximumBytes) {
-  const std::string Allowed =
-      "a string of " + countRange(MinimumBytes, MaximumBytes) + " bytes";
+  return matchingText(
+      Out, "a string of " + countRange(MinimumBytes, MaximumBytes) + " bytes",
+      [&](std::string_view Text) {
+        return Text.size() >= MinimumBytes && Text.size() <= MaximumBytes;
+      });
+}
+
+bool JsonReader::matchingText(
+    std::string &Out, const std::string &Allowed,
+    const std::function<bool(std::string_view Text)> &Accepts) {
   if (!begin(Allowed))
     return false;
   const json::string *Text = Value->if_string();
-  if (!Text || Text->size() < MinimumBytes || Text->size() > MaximumBytes)
+  if (!Text || !Accepts(std::string_view(Text->data(), Text->size())))
     return fail(Allowed);
   Out.assign(Text->data(), Text->size());
   return true;
 }
 
 bool JsonReader::identifierText(std::string &Out) {
-  const std::string Allowed =
-      "a name of 1 to 64 letters, digits, '.', '-' and '_'";
-  if (!begin(Allowed))
-    return false;
-  const json::string *Text = Value->if_string();
-  if (!Text || Text->empty() || Text->size() > 64 ||
-      !std::all_of(Text->begin(), Text->end(), isIdentifierCharacter))
-    return fail(Allowed);
-  Out.assign(Text->data(), Text->size());
-  return true;
+  return matchingText(
+      Out, "a name of 1 to 64 letters, digits, '.', '-' and '_'",
+      [](std::string_view Text) {
+        return !Text.empty() && Text.size() <= 64 &&
+               std::all_of(Text.begin(), Text.end(), isIdentifierCharacter);
+      });
 }
 
 bool JsonReader::integerValue(std::uint64_t &Out, std::uint64_t Minimum,
@@ -165,7 +167,7 @@
 
 bool JsonReader::number(double &Out, double Minimum, double Maximum) {
   const std::string Allowed =
-      "a number " + range(formatNumber(Minimum), formatNumber(Maximum));
+      "a number " + range(numberText(Minimum), numberText(Maximum));
   if (!begin(Allowed))
     return false;
   if (!Value->is_number())
@@ -189,8 +191,8 @@
 
 bool JsonReader::duration(Duration &Out, Duration Minimum, Duration Maximum) {
   const std::string Allowed =
-      "milliseconds " + range(formatNumber(milliseconds(Minimum)),
-                              formatNumber(milliseconds(Maximum)));
+      "milliseconds " + range(numberText(milliseconds(Minimum)),
+                              numberText(milliseconds(Maximum)));
   if (!begin(Allowed))
     return false;
   if (!Value->is_number())
--- a/Libraries/LibJson/JsonReader.h
+++ b/Libraries/LibJson/JsonReader.h
@@ -26,6 +26,8 @@
 /// the default beforehand.
 class JsonReader {
 public:
+  static constexpr std::size_t NoMaximum = static_cast<std::size_t>(-1);
+
   /// Field of an object. Reading it is a fault when it is absent.
   JsonReader required(std::string_view Name);
   /// Field of an object. Reading it does nothing when it is absent.
@@ -43,6 +45,9 @@
   template <typename Tag> bool identifier(Identifier<Tag> &Out) {
     return identifierText(Out.Value);
   }
+  /// Text that the function accepts; Allowed says in words what that is.
+  bool matchingText(std::string &Out, const std::string &Allowed,
+                    const std::function<bool(std::string_view Text)> &Accepts);
   /// Whole number in a range, both ends included.
   template <std::unsigned_integral Integer>
   bool integer(Integer &Out, std::uint64_t Minimum, std::uint64_t Maximum) {
@@ -77,7 +82,8 @@
   /// two also check the type, so this is needed only for an object that may
   /// have no field read.
   bool object();
-  /// Calls the function for each element, in order.
+  /// Calls the function for each element, in order. A maximum of NoMaximum
+  /// leaves the bound to the size of the document.
   bool array(std::size_t MinimumCount, std::size_t MaximumCount,
              const std::function<void(JsonReader Element)> &ReadElement);
 
--- a/Tests/LibJson/TestJsonReader.cpp
+++ b/Tests/LibJson/TestJsonReader.cpp
@@ -1,6 +1,9 @@
 #include <LibJson/JsonReader.h>
+#include <LibJson/JsonText.h>
 #include <LibJson/NearestName.h>
 
+#include <boost/json/parse.hpp>
+
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -86,6 +89,10 @@
 // Guards against stopping at the first fault, and against faults without their
 // place, what was found or what is allowed.
 TEST(JsonReader, ReportsEachFaultWithItsPath) {
+  const std::string SlotRule = "an integer from 1 to 8";
+  const std::string EndpointRule = "an IP number and a port from 1 to 65535, "
+                                   "for example \"127.0.0.1:7001\"";
+  const std::string PaintRule = R"("red" or "green" (did you mean "green"?))";
   const std::string NameRule =
       "a name of 1 to 64 letters, digits, '.', '-' and '_'";
   EXPECT_EQ(
@@ -96,17 +103,13 @@
           R"(text: found "12345678901", allowed: a string of 0 to 10 bytes)",
           "host: found nothing, allowed: " + NameRule,
           "count: found 0, allowed: an integer from 1 to 100",
-          "ratio: found 1.5E0, allowed: a number from 0 to 1",
+          "ratio: found 1.5, allowed: a number from 0 to 1",
           "flag: found 1, allowed: true or false",
-          "pause_ms: found 1E300, allowed: milliseconds from 0 to 1000",
-          R"(address: found "127.0.0.1:0", allowed: an IP number and a port )"
-          R"(from 1 to 65535, for example "127.0.0.1:7001")",
-          R"(paint: found "grene", allowed: "red" or "green" (did you mean )"
-          R"("green"?))",
-          "group.targets[1].slots: found 2.5E0, allowed: an integer from 1 "
-          "to 8",
-          "group.targets[2].slots: found nothing, allowed: an integer from 1 "
-          "to 8"}));
+          "pause_ms: found 1e+300, allowed: milliseconds from 0 to 1000",
+          "address: found \"127.0.0.1:0\", allowed: " + EndpointRule,
+          "paint: found \"grene\", allowed: " + PaintRule,
+          "group.targets[1].slots: found 2.5, allowed: " + SlotRule,
+          "group.targets[2].slots: found nothing, allowed: " + SlotRule}));
 }
 
 // Guards against a misspelt field whose default is taken without a word.
@@ -129,6 +132,22 @@
   EXPECT_EQ(nearestName("ix", Known), "");
 }
 
+// Guards against text for people that reads back as something else.
+TEST(JsonText, ReadsBackAsTheSameValue) {
+  const boost::json::value Value = boost::json::parse(
+      R"({"a":[],"b":{},"c":[{"d":0.1,"e":[1,-2,true,null]},"x\n"],"f":1e300})");
+  const std::string Text = prettyJson(Value);
+  EXPECT_EQ(boost::json::parse(Text), Value) << Text;
+  EXPECT_NE(Text.find("\"d\": 0.1"), std::string::npos) << Text;
+}
+
+// Guards against an answer of a newer process that an older one cannot read.
+TEST(JsonReader, IgnoresUnknownFieldsOnRequest) {
+  JsonDocument Document(R"({"host":"h","added_later":1})");
+  readSample(Document);
+  EXPECT_TRUE(Document.finish("sample", UnknownFields::Ignore).has_value());
+}
+
 // Guards against a second field of the same name that replaces the first.
 TEST(JsonReader, RefusesRepeatedFields) {
   EXPECT_EQ(faultsOf(R"({"host":"h","group":{"targets":[{"slots":1},
