LibManifest: Read, check, write and update manifests

Cause: operators, hosts and the platform exchange manifests, and a number in force must never fall, nor an operator be told a wrong outcome.

--- a/Libraries/LibJson/JsonReader.h
+++ b/Libraries/LibJson/JsonReader.h
@@ -57,7 +57,7 @@
     Out = static_cast<Integer>(Wide);
     return true;
   }
-  /// Number in a range, both ends included.
+  /// Number in a range, both ends included. Exact for up to 9 digits.
   bool number(double &Out, double Minimum, double Maximum);
   bool boolean(bool &Out);
   /// Time in milliseconds, fractions allowed; the field's name ends in "_ms".
--- /dev/null
+++ b/Libraries/LibManifest/ManifestWriter.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <LibManifest/Manifest.h>
+
+#include <boost/json/value.hpp>
+#include <string>
+
+namespace comfreyrill {
+
+/// All fields, also those with default values, so that a stored manifest keeps
+/// its meaning when a later version has other defaults.
+boost::json::value manifestToJson(const Manifest &Manifest);
+
+/// The manifest as text for people; parseManifest reads it back, with
+/// numbers of up to 9 digits unchanged.
+std::string formatManifest(const Manifest &Manifest);
+
+} // namespace comfreyrill
--- /dev/null
+++ b/Libraries/LibManifest/PlatformLimits.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include <cstddef>
+
+namespace comfreyrill {
+
+/// Largest value that the platform's object API stores.
+inline constexpr std::size_t PlatformValueBytes = 1'000'000;
+
+} // namespace comfreyrill
