LibPeer: Bound frozen peers and carry order and start of hosts

A descriptor of a host needs the sequence of the heartbeat that it comes from (facts arrive over several hosts), whether the host reaches the platform (its place as watcher) and the start of its process (incarnations are random and have no order). IDL: HostDescription gets the optional fields 10 sequence, 11 reaches_platform and 12 started_at_ms; the domain and the addresses may be empty in a short heartbeat.

--- a/Libraries/LibPeer/Generated/Peer_types.cpp
+++ b/Libraries/LibPeer/Generated/Peer_types.cpp
@@ -111,6 +111,21 @@
 __isset.fleet_version = true;
 }
 
+void HostDescription::__set_sequence(const int64_t val) {
+  this->sequence = val;
+__isset.sequence = true;
+}
+
+void HostDescription::__set_reaches_platform(const bool val) {
+  this->reaches_platform = val;
+__isset.reaches_platform = true;
+}
+
+void HostDescription::__set_started_at_ms(const int64_t val) {
+  this->started_at_ms = val;
+__isset.started_at_ms = true;
+}
+
 uint32_t HostDescription::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
@@ -214,6 +229,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->reaches_platform);
+          this->__isset.reaches_platform = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->started_at_ms);
+          this->__isset.started_at_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -284,6 +323,21 @@
     xfer += oprot->writeI64(this->fleet_version);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.sequence) {
+    xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 10);
+    xfer += oprot->writeI64(this->sequence);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.reaches_platform) {
+    xfer += oprot->writeFieldBegin("reaches_platform", ::apache::thrift::protocol::T_BOOL, 11);
+    xfer += oprot->writeBool(this->reaches_platform);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.started_at_ms) {
+    xfer += oprot->writeFieldBegin("started_at_ms", ::apache::thrift::protocol::T_I64, 12);
+    xfer += oprot->writeI64(this->started_at_ms);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -300,6 +354,9 @@
   swap(a.state, b.state);
   swap(a.manifest_number, b.manifest_number);
   swap(a.fleet_version, b.fleet_version);
+  swap(a.sequence, b.sequence);
+  swap(a.reaches_platform, b.reaches_platform);
+  swap(a.started_at_ms, b.started_at_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -313,6 +370,9 @@
   state = other1.state;
   manifest_number = other1.manifest_number;
   fleet_version = other1.fleet_version;
+  sequence = other1.sequence;
+  reaches_platform = other1.reaches_platform;
+  started_at_ms = other1.started_at_ms;
   __isset = other1.__isset;
 }
 HostDescription& HostDescription::operator=(const HostDescription& other2) {
@@ -325,6 +385,9 @@
   state = other2.state;
   manifest_number = other2.manifest_number;
   fleet_version = other2.fleet_version;
+  sequence = other2.sequence;
+  reaches_platform = other2.reaches_platform;
+  started_at_ms = other2.started_at_ms;
   __isset = other2.__isset;
   return *this;
 }
--- a/Libraries/LibPeer/Generated/Peer_types.h
+++ b/Libraries/LibPeer/Generated/Peer_types.h
@@ -114,8 +114,11 @@
 class PeerMessage;
 
 typedef struct _HostDescription__isset {
-  _HostDescription__isset() : fleet_version(false) {}
+  _HostDescription__isset() : fleet_version(false), sequence(false), reaches_platform(false), started_at_ms(false) {}
   bool fleet_version :1;
+  bool sequence :1;
+  bool reaches_platform :1;
+  bool started_at_ms :1;
 } _HostDescription__isset;
 
 class HostDescription : public virtual ::apache::thrift::TBase {
@@ -132,7 +135,10 @@
                     admin_address(),
                     state(static_cast<HostState::type>(0)),
                     manifest_number(0),
-                    fleet_version(0) {
+                    fleet_version(0),
+                    sequence(0),
+                    reaches_platform(0),
+                    started_at_ms(0) {
   }
 
   virtual ~HostDescription() noexcept;
@@ -149,6 +155,9 @@
   HostState::type state;
   int64_t manifest_number;
   int64_t fleet_version;
+  int64_t sequence;
+  bool reaches_platform;
+  int64_t started_at_ms;
 
   _HostDescription__isset __isset;
 
@@ -170,6 +179,12 @@
 
   void __set_fleet_version(const int64_t val);
 
+  void __set_sequence(const int64_t val);
+
+  void __set_reaches_platform(const bool val);
+
+  void __set_started_at_ms(const int64_t val);
+
   bool operator == (const HostDescription & rhs) const
   {
     if (!(host == rhs.host))
@@ -192,6 +207,18 @@
       return false;
     else if (__isset.fleet_version && !(fleet_version == rhs.fleet_version))
       return false;
+    if (__isset.sequence != rhs.__isset.sequence)
+      return false;
+    else if (__isset.sequence && !(sequence == rhs.sequence))
+      return false;
+    if (__isset.reaches_platform != rhs.__isset.reaches_platform)
+      return false;
+    else if (__isset.reaches_platform && !(reaches_platform == rhs.reaches_platform))
+      return false;
+    if (__isset.started_at_ms != rhs.__isset.started_at_ms)
+      return false;
+    else if (__isset.started_at_ms && !(started_at_ms == rhs.started_at_ms))
+      return false;
     return true;
   }
   bool operator != (const HostDescription &rhs) const {
--- a/Libraries/LibPeer/Peer.thrift
+++ b/Libraries/LibPeer/Peer.thrift
@@ -4,7 +4,9 @@
 
 enum HostState { STARTING = 1, READY = 2, LEAVING = 3 }
 
-// What a host knows of another one.
+// What a host says about itself, or passes on about another one. In the sender
+// of a short heartbeat the failure domain and the addresses are empty: they are
+// those of the last complete heartbeat of the same incarnation.
 struct HostDescription {
   1: required string host
   2: required i64 incarnation
@@ -15,6 +17,14 @@
   7: required HostState state
   8: required i64 manifest_number
   9: optional i64 fleet_version
+  // Heartbeat of that host which the description is taken from; orders
+  // descriptions of one incarnation that arrive over different hosts.
+  10: optional i64 sequence
+  // False after the host failed to reach the platform; absent means true.
+  11: optional bool reaches_platform
+  // Start of the process on its own wall clock. A hint that tells a successor
+  // from its predecessor, because incarnations are random.
+  12: optional i64 started_at_ms
 }
 
 // Calls in flight from one host to one target.
--- a/Libraries/LibPeer/PeerMesh.cpp
+++ b/Libraries/LibPeer/PeerMesh.cpp
@@ -140,7 +140,7 @@
 // so that the mesh can be destroyed while requests wait.
 Awaitable<Result<wire::PeerBody>>
 PeerMesh::request(Endpoint Remote, wire::PeerBody Body, TimePoint Deadline) {
-  if (Deadline <= TimeSource.now())
+  if (Deadline <= BootClock::now())
     co_return deadlineError(Remote);
   CO_TRY(auto Target, findLink(Remote));
   if (Target->Requests.size() >= Limits.WaitingRequests)
@@ -160,13 +160,14 @@
   Target.reset();
   if (Deadline < TimerExpiry)
     armDeadline();
+  // A bare pointer, because g++ 12 destroys the captures of a temporary within
+  // co_await twice.
+  auto Suspend = [Bare = Current.get()](auto Handler) {
+    Bare->Resume =
+        std::make_unique<HandlerWaiter<decltype(Handler)>>(std::move(Handler));
+  };
   co_await asio::async_initiate<const asio::use_awaitable_t<Executor> &,
-                                void()>(
-      [Current](auto Handler) {
-        Current->Resume = std::make_unique<HandlerWaiter<decltype(Handler)>>(
-            std::move(Handler));
-      },
-      UseAwaitable);
+                                void()>(Suspend, UseAwaitable);
   co_return std::move(*Current->Outcome);
 }
 
@@ -332,11 +333,13 @@
         if (Code || !Self)
           return;
         Self->SweepRuns = false;
-        Self->sweep();
+        Self->enforceTimes();
+        if (!Self->Links.empty())
+          Self->startSweep();
       });
 }
 
-void PeerMesh::sweep() {
+void PeerMesh::enforceTimes() {
   const TimePoint Now = TimeSource.now();
   std::vector<std::shared_ptr<Link>> All;
   All.reserve(Links.size());
@@ -348,8 +351,6 @@
     else if (const auto Connection = Target->Connection)
       Connection->enforceTimes(Now, false);
   }
-  if (!Links.empty())
-    startSweep();
 }
 
 // A pending timer is only replaced when the new deadline is earlier; it is set
@@ -367,7 +368,7 @@
 
 void PeerMesh::onDeadline() {
   TimerExpiry = TimePoint::max();
-  const TimePoint Now = TimeSource.now();
+  const TimePoint Now = BootClock::now();
   while (!Deadlines.empty() && Deadlines.begin()->first <= Now) {
     const auto Current = Deadlines.begin()->second.lock();
     Deadlines.erase(Deadlines.begin());
--- a/Libraries/LibPeer/PeerMesh.h
+++ b/Libraries/LibPeer/PeerMesh.h
@@ -48,7 +48,8 @@
   /// deadline, with ConnectionFailed when the peer cannot be reached, with
   /// ConnectionLost when the link breaks, and with Refused when the queue is
   /// full or the peer answers with an error. Only ConnectionFailed and Refused
-  /// by the local queue mean that the peer has not seen the message.
+  /// by the local queue mean that the peer has not seen the message. The
+  /// deadline is one of the machine's clock, because Asio's timers wait for it.
   Awaitable<Result<wire::PeerBody>>
   request(Endpoint Remote, wire::PeerBody Body, TimePoint Deadline);
 
@@ -58,6 +59,10 @@
   /// Closes all links and refuses further messages.
   void close();
 
+  /// Closes links that are unused, slow or stalled. A timer calls it every
+  /// second.
+  void enforceTimes();
+
   /// True when a connection to the endpoint is open.
   bool isConnected(const Endpoint &Remote) const;
   std::size_t links() const { return Links.size(); }
@@ -77,7 +82,6 @@
   void onMessage(Link &Source, const wire::PeerMessage &Message);
   static void failRequests(Link &Target, const Error &Cause);
   void startSweep();
-  void sweep();
   void armDeadline();
   void onDeadline();
 
--- a/Libraries/LibPeer/PeerServer.cpp
+++ b/Libraries/LibPeer/PeerServer.cpp
@@ -140,13 +140,17 @@
         const auto Self = Weak.lock();
         if (Code || !Self)
           return;
-        const TimePoint Now = Self->TimeSource.now();
-        const std::vector<std::shared_ptr<FrameConnection>> All(
-            Self->Connections.begin(), Self->Connections.end());
-        for (const auto &Connection : All)
-          Connection->enforceTimes(Now, true);
+        Self->enforceTimes();
         Self->scheduleSweep();
       });
 }
 
+void PeerServer::enforceTimes() {
+  const TimePoint Now = TimeSource.now();
+  const std::vector<std::shared_ptr<FrameConnection>> All(Connections.begin(),
+                                                          Connections.end());
+  for (const auto &Connection : All)
+    Connection->enforceTimes(Now, true);
+}
+
 } // namespace comfreyrill
--- a/Libraries/LibPeer/PeerServer.h
+++ b/Libraries/LibPeer/PeerServer.h
@@ -50,6 +50,10 @@
   /// Closes the listener and all connections.
   void close();
 
+  /// Closes connections that are idle, slow or stalled. A timer calls it every
+  /// second.
+  void enforceTimes();
+
   std::size_t connections() const { return Connections.size(); }
   const PeerTraffic &traffic() const { return *Traffic; }
 
