LibMembership: Add the member table, roles, documents and addresses

Hosts have to find each other, watch the platform with few calls, pass documents on and give callers addresses of hosts that live. All of it is free functions over MemberTable, with time and randomness passed in.

A heartbeat from the host itself proves life, hearsay brings facts only. A restarted process is told from its predecessor by its start time, and by silence when clocks mislead. Documents spread as a tree. Each host keeps itself in its own list of candidates, so the host of the highest rank always watches the platform.

--- /dev/null
+++ b/Libraries/LibMembership/MemberTable.cpp
@@ -0,0 +1,156 @@
+#include <LibMembership/MemberTable.h>
+
+#include <LibCore/Hash.h>
+
+#include <algorithm>
+
+namespace comfreyrill {
+
+namespace {
+
+void sendAtOnce(MemberTable &Table, TimePoint Now) {
+  for (auto &Other : Table.Peers)
+    if (liveness(Table, Other, Now) != Liveness::Lost)
+      Other.NextHeartbeat = std::min(Other.NextHeartbeat, Now);
+}
+
+template <typename Value>
+bool announce(MemberTable &Table, Value &Field, Value New, TimePoint Now) {
+  if (Field == New)
+    return false;
+  Field = New;
+  sendAtOnce(Table, Now);
+  return true;
+}
+
+void noteManifests(MemberTable &Table, TimePoint Now) {
+  for (auto &Other : Table.Peers)
+    if (Other.Description.Manifest.Value >= Table.Self.Manifest.Value)
+      Other.BehindSince.reset();
+    else if (!Other.BehindSince)
+      Other.BehindSince = Now;
+}
+
+bool isForgotten(const MemberTable &Table, const Peer &Other, TimePoint Now) {
+  const bool HasLeft = Other.Description.State == HostState::Leaving;
+  const Duration Limit =
+      HasLeft ? Table.Settings.ForgetLeftAfter : Table.Settings.ForgetAfter;
+  return Now - Other.LastHeard.value_or(Other.KnownSince) > Limit;
+}
+
+} // namespace
+
+MemberTable makeMemberTable(const HostDescription &Self,
+                            std::vector<Endpoint> Seeds,
+                            const MembershipSettings &Settings, TimePoint Now) {
+  MemberTable Table;
+  Table.Settings = Settings;
+  Table.Self = Self;
+  Table.Rank = platformRank(Self.Host);
+  Table.Seeds = std::move(Seeds);
+  Table.Started = Now;
+  Table.LastAdvance = Now;
+  Table.NextFullList = Now;
+  Table.NextSeedContact = Now;
+  return Table;
+}
+
+std::uint64_t platformRank(const HostId &Host) {
+  return stableHash({"platform-role", Host.Value});
+}
+
+const Peer *findPeer(const MemberTable &Table, const HostId &Host) {
+  const auto Position =
+      std::lower_bound(Table.Peers.begin(), Table.Peers.end(), Host,
+                       [](const Peer &Other, const HostId &Wanted) {
+                         return Other.Description.Host.Value < Wanted.Value;
+                       });
+  if (Position == Table.Peers.end() || Position->Description.Host != Host)
+    return nullptr;
+  return &*Position;
+}
+
+Peer *findPeer(MemberTable &Table, const HostId &Host) {
+  return const_cast<Peer *>(
+      findPeer(static_cast<const MemberTable &>(Table), Host));
+}
+
+// Lost peers count until they are forgotten, so that the interval does not
+// change for all hosts each time that one of them fails.
+Duration heartbeatInterval(const MemberTable &Table) {
+  const auto &Settings = Table.Settings;
+  const auto Count = static_cast<Duration::rep>(Table.Peers.size());
+  return std::clamp(Settings.IntervalPerPeer * Count, Settings.ShortestInterval,
+                    Settings.LongestInterval);
+}
+
+Duration suspectAfter(const MemberTable &Table) {
+  return std::max(Table.Settings.SuspectAfter, 2 * heartbeatInterval(Table));
+}
+
+Liveness liveness(const MemberTable &Table, const Peer &Other, TimePoint Now) {
+  if (!Other.LastHeard)
+    return Liveness::Unheard;
+  const Duration Silence = Now - *Other.LastHeard;
+  if (Silence > Table.Settings.LostAfter)
+    return Liveness::Lost;
+  return Silence > suspectAfter(Table) ? Liveness::Suspect : Liveness::Alive;
+}
+
+std::size_t aliveCount(const MemberTable &Table, TimePoint Now) {
+  return static_cast<std::size_t>(
+      std::count_if(Table.Peers.begin(), Table.Peers.end(), [&](const Peer &P) {
+        return liveness(Table, P, Now) == Liveness::Alive;
+      }));
+}
+
+bool announceState(MemberTable &Table, HostState State, TimePoint Now) {
+  if (Table.Self.State == HostState::Leaving)
+    return false;
+  return announce(Table, Table.Self.State, State, Now);
+}
+
+bool announceManifest(MemberTable &Table, ManifestNumber Number,
+                      TimePoint Now) {
+  if (Number.Value < Table.Self.Manifest.Value ||
+      !announce(Table, Table.Self.Manifest, Number, Now))
+    return false;
+  noteManifests(Table, Now);
+  return true;
+}
+
+bool announceFleet(MemberTable &Table, std::uint64_t Version, TimePoint Now) {
+  return Version > Table.Self.FleetVersion &&
+         announce(Table, Table.Self.FleetVersion, Version, Now);
+}
+
+bool announcePlatform(MemberTable &Table, bool IsReached, TimePoint Now) {
+  return announce(Table, Table.Self.ReachesPlatform, IsReached, Now);
+}
+
+bool isSuperseded(const MemberTable &Table, TimePoint Now) {
+  if (!Table.Rival || liveness(Table, *Table.Rival, Now) != Liveness::Alive)
+    return false;
+  const auto &Other = Table.Rival->Description;
+  return std::pair(Other.StartedAt, Other.Incarnation.Value) >
+         std::pair(Table.Self.StartedAt, Table.Self.Incarnation.Value);
+}
+
+void advance(MemberTable &Table, TimePoint Now) {
+  const Duration Gap = Now - Table.LastAdvance;
+  Table.LastAdvance = Now;
+  // As in Lifeguard, a process that was itself not running does not hold the
+  // silence of that time against the others. Otherwise a resumed host would
+  // find itself alone for a moment and take over every role.
+  if (Gap > Table.Settings.PauseThreshold)
+    for (auto &Other : Table.Peers)
+      if (Other.LastHeard)
+        Other.LastHeard = std::min(Now, *Other.LastHeard + Gap);
+  std::erase_if(Table.Peers, [&](const Peer &Other) {
+    return isForgotten(Table, Other, Now);
+  });
+  if (Table.Rival && isForgotten(Table, *Table.Rival, Now))
+    Table.Rival.reset();
+}
+
+} // namespace comfreyrill
--- /dev/null
+++ b/Libraries/LibMembership/Roles.cpp
@@ -0,0 +1,100 @@
+#include <LibMembership/Roles.h>
+
+#include <algorithm>
+#include <tuple>
+
+namespace comfreyrill {
+
+namespace {
+
+constexpr std::size_t WatcherCount = 2;
+
+struct Candidate {
+  int Tier = 0;
+  std::uint64_t Rank = 0;
+  HostId Host;
+
+  bool operator<(const Candidate &Other) const {
+    return std::tie(Tier, Other.Rank, Host.Value) <
+           std::tie(Other.Tier, Rank, Other.Host.Value);
+  }
+};
+
+// A host that cannot reach the platform gives its place to one that can. It
+// keeps a higher place than hosts without a manifest, so that somebody tries
+// when nobody has reached the platform lately.
+int tier(const HostDescription &Description) {
+  switch (Description.State) {
+  case HostState::Ready:
+    return Description.ReachesPlatform ? 0 : 1;
+  case HostState::Starting:
+    return Description.ReachesPlatform ? 2 : 3;
+  case HostState::Leaving:
+    break;
+  }
+  return 4;
+}
+
+Candidate candidate(const HostDescription &Description, std::uint64_t Rank) {
+  return {tier(Description), Rank, Description.Host};
+}
+
+// This host is always in its own list. The one with the highest rank of all
+// that run therefore watches whatever it believes of the others, and whatever
+// they believe of it.
+std::vector<Candidate> bestCandidates(const MemberTable &Table, TimePoint Now) {
+  std::vector<Candidate> Candidates{candidate(Table.Self, Table.Rank)};
+  for (const auto &Other : Table.Peers)
+    if (liveness(Table, Other, Now) == Liveness::Alive)
+      Candidates.push_back(candidate(Other.Description, Other.Rank));
+  const std::size_t Count = std::min(WatcherCount, Candidates.size());
+  std::partial_sort(Candidates.begin(),
+                    Candidates.begin() + static_cast<std::ptrdiff_t>(Count),
+                    Candidates.end());
+  Candidates.resize(Count);
+  return Candidates;
+}
+
+} // namespace
+
+std::vector<HostId> watchers(const MemberTable &Table, TimePoint Now) {
+  std::vector<HostId> Hosts;
+  for (auto &Best : bestCandidates(Table, Now))
+    Hosts.push_back(std::move(Best.Host));
+  return Hosts;
+}
+
+PlatformPlan platformPlan(const MemberTable &Table, TimePoint Now) {
+  PlatformPlan Plan;
+  const auto Hosts = watchers(Table, Now);
+  Plan.IsWatcher =
+      std::find(Hosts.begin(), Hosts.end(), Table.Self.Host) != Hosts.end();
+  const auto &Settings = Table.Settings;
+  const auto Count =
+      static_cast<Duration::rep>(aliveCount(Table, Now) + std::size_t{1});
+  Plan.RetryInterval = Settings.ShortestPollInterval;
+  Plan.PollInterval = std::max(Settings.ShortestPollInterval,
+                               Settings.PollIntervalPerHost * Count);
+  return Plan;
+}
+
+bool isReporter(const MemberTable &Table, TimePoint Now) {
+  return Table.Self.State == HostState::Ready && Table.Self.ReachesPlatform &&
+         Now - Table.Started >= Table.Settings.LostAfter &&
+         bestCandidates(Table, Now).front().Host == Table.Self.Host;
+}
+
+std::vector<HostReport> reportHosts(const MemberTable &Table, TimePoint Now) {
+  std::vector<HostReport> Reports{{Table.Self, Liveness::Alive, {}}};
+  for (const auto &Other : Table.Peers)
+    Reports.push_back(
+        {Other.Description, liveness(Table, Other, Now),
+         Other.BehindSince ? Now - *Other.BehindSince : Duration::zero()});
+  std::sort(Reports.begin(), Reports.end(),
+            [](const HostReport &One, const HostReport &Other) {
+              return One.Description.Host.Value < Other.Description.Host.Value;
+            });
+  return Reports;
+}
+
+} // namespace comfreyrill
--- /dev/null
+++ b/Libraries/LibMembership/Roles.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <LibMembership/MemberTable.h>
+
+namespace comfreyrill {
+
+/// How this host asks the platform for new documents.
+struct PlatformPlan {
+  /// Keep one watch pending; after a failure, try again after RetryInterval.
+  bool IsWatcher = false;
+  Duration RetryInterval = Duration::zero();
+  /// Time between two reads of a host that does not watch. Grows with the
+  /// number of hosts, so that the call rate of all of them stays the same.
+  Duration PollInterval = Duration::zero();
+};
+
+PlatformPlan platformPlan(const MemberTable &Table, TimePoint Now);
+
+/// The two hosts that watch the platform in the view of this one, the highest
+/// rank first; fewer when fewer are alive.
+std::vector<HostId> watchers(const MemberTable &Table, TimePoint Now);
+
+/// True when this host writes the report and maintains the `hosts` object.
+/// False until the host has had the time to hear the others.
+bool isReporter(const MemberTable &Table, TimePoint Now);
+
+/// One line of the report.
+struct HostReport {
+  HostDescription Description;
+  Liveness State = Liveness::Alive;
+  /// How long the host has announced an older manifest than this host's.
+  Duration Behind = Duration::zero();
+};
+
+/// All hosts that are not forgotten, this one included, sorted by host id.
+std::vector<HostReport> reportHosts(const MemberTable &Table, TimePoint Now);
+
+} // namespace comfreyrill
--- /dev/null
+++ b/Tests/LibMembership/Fleet.h
@@ -0,0 +1,177 @@
+#pragma once
+
+#include <LibMembership/Documents.h>
+#include <LibMembership/Heartbeats.h>
+#include <LibMembership/Observe.h>
+#include <LibMembership/Roles.h>
+
+#include <functional>
+#include <map>
+#include <string>
+
+namespace comfreyrill::test {
+
+constexpr Duration Step = std::chrono::milliseconds(25);
+
+inline HostDescription describe(int Index, std::uint64_t Incarnation,
+                                int StartedAtSeconds) {
+  HostDescription Host;
+  Host.Host = HostId("h" + std::to_string(100 + Index));
+  Host.Incarnation = {Incarnation};
+  Host.StartedAt = std::chrono::seconds(StartedAtSeconds);
+  Host.Domain =
+      FailureDomain(std::string(1, static_cast<char>('a' + Index % 3)));
+  Host.PeerAddress = {"10.0.0." + std::to_string(Index), 7101};
+  Host.CallerAddress = {"10.0.0." + std::to_string(Index), 7001};
+  Host.AdminAddress = {"10.0.0." + std::to_string(Index), 7201};
+  Host.State = HostState::Ready;
+  return Host;
+}
+
+/// Several member tables that exchange heartbeats under a manual clock.
+class Fleet {
+public:
+  struct Process {
+    MemberTable Table;
+    bool Frozen = false;
+    bool Crashed = false;
+    bool PlatformCut = false;
+    TimePoint NextPlatformCall;
+    int PlatformCalls = 0;
+    int CopiesServed = 0;
+    /// Heartbeats that wait in the buffers of a frozen process.
+    std::vector<Heartbeat> Waiting;
+  };
+
+  Fleet(int Count, std::uint64_t Seed) : Generator(Seed) {
+    for (int Index = 0; Index < Count; ++Index)
+      start(describe(Index, Generator(), 1000));
+  }
+
+  std::size_t start(const HostDescription &Self) {
+    Process Started;
+    Started.Table = makeMemberTable(
+        Self, {{"10.0.0.0", 7101}, {"10.0.0.1", 7101}}, {}, Now);
+    Started.NextPlatformCall = Now;
+    Processes.push_back(std::move(Started));
+    return Processes.size() - 1;
+  }
+
+  MemberTable &table(std::size_t Index) { return Processes[Index].Table; }
+
+  void run(Duration Time, const std::function<void()> &Check = {}) {
+    for (const TimePoint End = Now + Time; Now < End; Now += StepTime) {
+      for (std::size_t Index = 0; Index < Processes.size(); ++Index)
+        if (isRunning(Processes[Index]))
+          act(Index);
+      if (Check)
+        Check();
+    }
+  }
+
+  static bool isRunning(const Process &One) {
+    return !One.Frozen && !One.Crashed;
+  }
+
+  Liveness view(std::size_t From, std::size_t Of) {
+    const Peer *Known = findPeer(table(From), table(Of).Self.Host);
+    if (!Known || Known->Description.Incarnation != table(Of).Self.Incarnation)
+      return Liveness::Unheard;
+    return liveness(table(From), *Known, Now);
+  }
+
+  /// True when all running processes see each other as alive with equal facts.
+  bool agrees() {
+    for (std::size_t From = 0; From < Processes.size(); ++From)
+      for (std::size_t Of = 0; Of < Processes.size(); ++Of) {
+        if (From == Of || !isRunning(Processes[From]) ||
+            !isRunning(Processes[Of]))
+          continue;
+        if (view(From, Of) != Liveness::Alive)
+          return false;
+        const Peer *Known = findPeer(table(From), table(Of).Self.Host);
+        if (Known->Description.State != table(Of).Self.State ||
+            Known->Description.Manifest != table(Of).Self.Manifest)
+          return false;
+      }
+    return true;
+  }
+
+  Duration timeUntil(const std::function<bool()> &Condition, Duration Limit) {
+    const TimePoint Begin = Now;
+    while (!Condition() && Now - Begin < Limit)
+      run(StepTime);
+    return Now - Begin;
+  }
+
+  void resume(std::size_t Index) {
+    Processes[Index].Frozen = false;
+    auto Waiting = std::move(Processes[Index].Waiting);
+    Processes[Index].Waiting.clear();
+    advance(table(Index), Now);
+    for (const auto &Late : Waiting)
+      observeHeartbeat(table(Index), Late, Now);
+  }
+
+  TimePoint Now{std::chrono::hours(1)};
+  /// Longer steps make long times cheaper.
+  Duration StepTime = Step;
+  Random Generator;
+  std::vector<Process> Processes;
+  std::uint64_t PlatformManifest = 0;
+  bool PlatformDown = false;
+  /// Whether a message from one process to another is lost.
+  std::function<bool(std::size_t From, std::size_t To)> IsCut =
+      [](std::size_t, std::size_t) { return false; };
+
+private:
+  void act(std::size_t Index) {
+    advance(table(Index), Now);
+    callPlatform(Processes[Index]);
+    for (const auto &Sent : dueHeartbeats(table(Index), Now, Generator))
+      deliver(Index, Sent);
+    const auto Source = chooseDocumentSource(
+        table(Index), DocumentKind::Manifest, Now, Generator);
+    if (!Source)
+      return;
+    for (std::size_t Holder = 0; Holder < Processes.size(); ++Holder)
+      if (Processes[Holder].Table.Self.PeerAddress == Source->Remote &&
+          isRunning(Processes[Holder]) && !IsCut(Index, Holder) &&
+          !IsCut(Holder, Index)) {
+        ++Processes[Holder].CopiesServed;
+        announceManifest(table(Index), table(Holder).Self.Manifest, Now);
+      }
+  }
+
+  void deliver(std::size_t From, const OutgoingHeartbeat &Sent) {
+    for (std::size_t To = 0; To < Processes.size(); ++To) {
+      auto &Receiver = Processes[To];
+      if (Receiver.Table.Self.PeerAddress != Sent.Remote || Receiver.Crashed ||
+          From == To || IsCut(From, To))
+        continue;
+      if (Receiver.Frozen)
+        Receiver.Waiting.push_back(Sent.Content);
+      else
+        observeHeartbeat(Receiver.Table, Sent.Content, Now);
+    }
+  }
+
+  void callPlatform(Process &One) {
+    const auto Plan = platformPlan(One.Table, Now);
+    const bool Reaches = !PlatformDown && !One.PlatformCut;
+    const bool IsWatching = Plan.IsWatcher && One.Table.Self.ReachesPlatform;
+    // A watch that hangs or breaks is noticed within a step.
+    if (!IsWatching && Now < One.NextPlatformCall)
+      return;
+    if (!IsWatching) {
+      ++One.PlatformCalls;
+      One.NextPlatformCall =
+          Now + (Plan.IsWatcher ? Plan.RetryInterval : Plan.PollInterval);
+    }
+    announcePlatform(One.Table, Reaches, Now);
+    if (Reaches)
+      announceManifest(One.Table, {PlatformManifest}, Now);
+  }
+};
+
+} // namespace comfreyrill::test
--- /dev/null
+++ b/Tests/LibMembership/TestAddresses.cpp
@@ -0,0 +1,78 @@
+#include "Fleet.h"
+
+#include <LibMembership/Addresses.h>
+#include <LibMembership/Drain.h>
+
+#include <gtest/gtest.h>
+#include <set>
+
+namespace comfreyrill {
+namespace {
+
+using namespace std::chrono_literals;
+using test::describe;
+
+const TimePoint Now{std::chrono::hours(1)};
+
+MemberTable tableOf(int Count) {
+  auto Table = makeMemberTable(describe(0, 1, 1), {}, {}, Now);
+  for (int Index = 1; Index < Count; ++Index) {
+    auto Sender = describe(Index, 1, 1);
+    Sender.Sequence = 1;
+    observeHeartbeat(Table, {Sender, {}}, Now);
+  }
+  return Table;
+}
+
+// Guards against hosts that get more callers than others, and against lists
+// that are lost together with one failure domain.
+TEST(Addresses, AreFairAndSpreadOverDomains) {
+  const auto Table = tableOf(15);
+  Random Generator(1);
+  std::map<std::string, int> Firsts;
+  for (int Round = 0; Round < 15000; ++Round) {
+    const auto Chosen = chooseAddresses(Table, 4, Now, Generator);
+    ASSERT_EQ(Chosen.size(), 4U);
+    std::set<std::string> Hosts;
+    std::set<std::string> Domains;
+    for (const auto &One : Chosen) {
+      Hosts.insert(One.Host.Value);
+      Domains.insert(One.Domain.Value);
+    }
+    ASSERT_EQ(Hosts.size(), 4U);
+    ASSERT_EQ(Domains.size(), 3U);
+    ++Firsts[Chosen[0].Host.Value];
+  }
+  for (const auto &[Host, Count] : Firsts)
+    EXPECT_NEAR(Count, 1000, 150) << Host;
+}
+
+// Guards against callers that are sent to a host that leaves, starts or is
+// silent; a host whose machine is about to leave is the last choice.
+TEST(Addresses, OnlyReadyAliveHostsAreGiven) {
+  auto Table = tableOf(6);
+  Random Generator(2);
+  Table.Peers[0].Description.State = HostState::Leaving;
+  Table.Peers[1].Description.State = HostState::Starting;
+  Table.Peers[2].LastHeard = Now - 2s;
+  observeFleetList(Table, {{HostId("h104"), true}});
+  const auto Chosen = chooseAddresses(Table, 10, Now, Generator);
+  ASSERT_EQ(Chosen.size(), 3U);
+  EXPECT_EQ(Chosen[2].Host.Value, "h104");
+  announceState(Table, HostState::Leaving, Now);
+  EXPECT_EQ(chooseAddresses(Table, 10, Now, Generator).size(), 2U);
+  EXPECT_FALSE(announceState(Table, HostState::Ready, Now));
+}
+
+// Guards against a stop that breaks a call, and against one that never ends.
+TEST(Addresses, DrainWaitsForCallersAndCallsWithinABound) {
+  Drain Current;
+  Current.Started = Now;
+  EXPECT_EQ(drainStep(Current, 0, Now + 30s), DrainStep::Serve);
+  EXPECT_EQ(drainStep(Current, 1, Now + 33s), DrainStep::Finish);
+  EXPECT_EQ(drainStep(Current, 0, Now + 33s), DrainStep::Exit);
+  EXPECT_EQ(drainStep(Current, 1, Now + 93s), DrainStep::Exit);
+}
+
+} // namespace
+} // namespace comfreyrill
--- /dev/null
+++ b/Tests/LibMembership/TestObserve.cpp
@@ -0,0 +1,108 @@
+#include "Fleet.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace comfreyrill {
+namespace {
+
+using namespace std::chrono_literals;
+using test::describe;
+
+const TimePoint Now{std::chrono::hours(1)};
+
+MemberTable anyTable() {
+  return makeMemberTable(describe(0, 1, 1), {}, {}, Now);
+}
+
+Heartbeat heartbeat(const HostDescription &Sender, std::uint64_t Sequence) {
+  Heartbeat Sent{Sender, {}};
+  Sent.Sender.Sequence = Sequence;
+  return Sent;
+}
+
+// Guards against late heartbeats that undo newer facts: any order of arrival
+// ends with the facts of the newest one, and leaving is never undone.
+RC_GTEST_PROP(Observe, OrderOfArrivalDoesNotMatter, ()) {
+  const auto Seed = *rc::gen::arbitrary<std::uint64_t>();
+  Random Generator(Seed);
+  std::vector<Heartbeat> Sent;
+  const std::size_t LeavesAt = randomIndex(Generator, 20);
+  for (std::size_t Index = 0; Index < 20; ++Index) {
+    auto Sender = describe(1, 7, 1);
+    Sender.State = Index < LeavesAt ? HostState::Ready : HostState::Leaving;
+    Sender.Manifest = {Index / 3};
+    Sent.push_back(heartbeat(Sender, Index + 1));
+  }
+  const auto Newest = Sent.back().Sender;
+  std::shuffle(Sent.begin(), Sent.end(), Generator);
+  auto Table = anyTable();
+  for (const auto &One : Sent) {
+    if (randomIndex(Generator, 2) == 0)
+      observeHeartbeat(Table, One, Now);
+    else
+      observeHearsay(Table, One.Sender, Now);
+  }
+  RC_ASSERT(Table.Peers[0].Description == Newest);
+}
+
+// Guards against a dead host that stays alive because others mention it.
+TEST(Observe, HearsayNeverCountsAsHeard) {
+  auto Table = anyTable();
+  auto Said = describe(1, 7, 1);
+  Said.Sequence = 1;
+  observeHearsay(Table, Said, Now);
+  EXPECT_EQ(liveness(Table, Table.Peers[0], Now), Liveness::Unheard);
+  observeHeartbeat(Table, heartbeat(Said, 2), Now);
+  Said.Sequence = 50;
+  Said.State = HostState::Leaving;
+  observeHearsay(Table, Said, Now + 4s);
+  EXPECT_EQ(liveness(Table, Table.Peers[0], Now + 4s), Liveness::Lost);
+  EXPECT_EQ(Table.Peers[0].Description.State, HostState::Leaving);
+}
+
+// Guards against a late heartbeat of the process before a restart, and against
+// hearsay that replaces a process which is heard.
+TEST(Observe, PredecessorIsIgnoredWhileItsSuccessorIsHeard) {
+  auto Table = anyTable();
+  const auto Old = describe(1, 9, 10);
+  const auto New = describe(1, 3, 20);
+  observeHeartbeat(Table, heartbeat(Old, 500), Now);
+  EXPECT_EQ(observeHeartbeat(Table, heartbeat(New, 1), Now),
+            HeartbeatVerdict::Joined);
+  EXPECT_EQ(observeHeartbeat(Table, heartbeat(Old, 501), Now),
+            HeartbeatVerdict::FromPredecessor);
+  auto Rumour = describe(1, 5, 30);
+  Rumour.Sequence = 900;
+  observeHearsay(Table, Rumour, Now);
+  EXPECT_EQ(Table.Peers[0].Description.Incarnation.Value, 3U);
+}
+
+// Guards against a host without addresses, to which callers would be sent.
+TEST(Observe, ShortHeartbeatOfAnUnknownProcessIsNotTaken) {
+  auto Table = anyTable();
+  auto Short = describe(1, 7, 1);
+  Short.PeerAddress = {};
+  EXPECT_EQ(observeHeartbeat(Table, heartbeat(Short, 1), Now),
+            HeartbeatVerdict::Incomplete);
+  auto FromPlatform = describe(1, 7, 1);
+  FromPlatform.CallerAddress = {};
+  observeHearsay(Table, FromPlatform, Now);
+  EXPECT_EQ(observeHeartbeat(Table, heartbeat(Short, 2), Now),
+            HeartbeatVerdict::Incomplete);
+}
+
+// Guards against heartbeats and tables that grow without bound.
+TEST(Observe, TableAndHeartbeatsAreBounded) {
+  auto Table = anyTable();
+  Random Generator(1);
+  for (int Index = 1; Index <= 300; ++Index)
+    observeHeartbeat(Table, heartbeat(describe(Index, 1, 1), 1), Now);
+  EXPECT_EQ(Table.Peers.size(), Table.Settings.MaximumPeers);
+  for (const auto &Sent : dueHeartbeats(Table, Now, Generator))
+    EXPECT_LE(Sent.Content.Known.size(), Table.Settings.MaximumKnown);
+}
+
+} // namespace
+} // namespace comfreyrill
--- /dev/null
+++ b/Tests/LibMembership/TestRoles.cpp
@@ -0,0 +1,156 @@
+#include "Fleet.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace comfreyrill {
+namespace {
+
+using namespace std::chrono_literals;
+using test::describe;
+using test::Fleet;
+
+bool isWatched(Fleet &Hosts) {
+  for (auto &Process : Hosts.Processes)
+    if (Fleet::isRunning(Process) && !Process.PlatformCut &&
+        Process.Table.Self.ReachesPlatform &&
+        platformPlan(Process.Table, Hosts.Now).IsWatcher)
+      return true;
+  return false;
+}
+
+// Guards against a platform that nobody watches although some host reaches it:
+// hosts lose the platform, stop and come back at random.
+RC_GTEST_PROP(Roles, SomebodyWatchesWhileSomeHostReachesThePlatform, ()) {
+  const auto Seed = *rc::gen::arbitrary<std::uint64_t>();
+  Fleet Hosts(8, Seed);
+  Random Choice(Seed);
+  Hosts.run(5s);
+  Duration Unwatched{0};
+  Duration Longest{0};
+  for (int Round = 0; Round < 20; ++Round) {
+    auto &One = Hosts.Processes[1 + randomIndex(Choice, 7)];
+    if (randomIndex(Choice, 2) == 0)
+      One.PlatformCut = !One.PlatformCut;
+    else
+      One.Frozen = !One.Frozen;
+    Hosts.run(std::chrono::milliseconds(randomIndex(Choice, 3000)), [&] {
+      Unwatched = isWatched(Hosts) ? Duration{0} : Unwatched + test::Step;
+      Longest = std::max(Longest, Unwatched);
+    });
+  }
+  // The suspect time of a watcher that stopped, and the poll interval of a host
+  // that reaches the platform again.
+  RC_ASSERT(Longest <= 6s);
+}
+
+// Guards against an outage after which only hosts of low rank reach the
+// platform: all have failed to reach it and none of them is a watcher.
+TEST(Roles, HostOfLowRankTakesOverAfterAnOutage) {
+  Fleet Hosts(15, 2);
+  Hosts.run(5s);
+  const auto Watching = watchers(Hosts.table(0), Hosts.Now);
+  Hosts.PlatformDown = true;
+  Hosts.run(60s);
+  Hosts.PlatformDown = false;
+  for (auto &Process : Hosts.Processes)
+    Process.PlatformCut = true;
+  auto &Last = Hosts.table(0).Self.Host == Watching[0] ||
+                       Hosts.table(0).Self.Host == Watching[1]
+                   ? Hosts.Processes[2]
+                   : Hosts.Processes[0];
+  Last.PlatformCut = false;
+  EXPECT_LE(Hosts.timeUntil([&] { return isWatched(Hosts); }, 60s), 8s);
+}
+
+// Guards against a call rate of the platform that grows with the fleet.
+TEST(Roles, PlatformCallsDoNotGrowWithTheFleet) {
+  for (const int Count : {10, 40}) {
+    Fleet Hosts(Count, 3);
+    Hosts.run(10s);
+    for (auto &Process : Hosts.Processes)
+      Process.PlatformCalls = 0;
+    Hosts.run(100s);
+    int Calls = 0;
+    std::size_t Watching = 0;
+    std::size_t Reporting = 0;
+    for (auto &Process : Hosts.Processes) {
+      Calls += Process.PlatformCalls;
+      Watching += platformPlan(Process.Table, Hosts.Now).IsWatcher ? 1 : 0;
+      Reporting += isReporter(Process.Table, Hosts.Now) ? 1 : 0;
+    }
+    EXPECT_EQ(Watching, 2U);
+    EXPECT_EQ(Reporting, 1U);
+    EXPECT_LE(Calls, 220) << Count;
+  }
+}
+
+// Guards against a new host that takes itself for the only one and writes a
+// report in which all others are missing.
+TEST(Roles, NewHostDoesNotReportBeforeItHasHeardTheOthers) {
+  auto Table = makeMemberTable(describe(0, 1, 1), {}, {},
+                               TimePoint(std::chrono::hours(1)));
+  EXPECT_FALSE(isReporter(Table, Table.Started + 1s));
+  EXPECT_TRUE(isReporter(Table, Table.Started + 4s));
+}
+
+// Guards against one host that sends a large document to all others, and
+// against a document that takes long.
+TEST(Roles, DocumentSpreadsAsATree) {
+  Fleet Hosts(40, 4);
+  Hosts.run(5s);
+  Hosts.PlatformManifest = 1;
+  const auto HasAll = [&] {
+    for (auto &Process : Hosts.Processes)
+      if (Process.Table.Self.Manifest.Value != 1)
+        return false;
+    return true;
+  };
+  EXPECT_LE(Hosts.timeUntil(HasAll, 10s), 500ms);
+  for (auto &Process : Hosts.Processes)
+    EXPECT_LE(Process.CopiesServed, 12);
+}
+
+// Guards against a host that asks the same frozen holder again and again.
+TEST(Roles, FetchIsTriedAtAnotherHolder) {
+  const TimePoint Now{std::chrono::hours(1)};
+  Random Generator(5);
+  auto Table = makeMemberTable(describe(0, 1, 1), {}, {}, Now);
+  for (int Index = 1; Index < 4; ++Index) {
+    auto Holder = describe(Index, 1, 1);
+    Holder.Manifest = {4};
+    Holder.Sequence = 1;
+    observeHeartbeat(Table, {Holder, {}}, Now);
+  }
+  const auto First =
+      chooseDocumentSource(Table, DocumentKind::Manifest, Now, Generator);
+  ASSERT_TRUE(First.has_value());
+  EXPECT_EQ(First->Number, 4U);
+  EXPECT_FALSE(
+      chooseDocumentSource(Table, DocumentKind::Manifest, Now, Generator));
+  const auto Second = chooseDocumentSource(Table, DocumentKind::Manifest,
+                                           Now + 600ms, Generator);
+  ASSERT_TRUE(Second.has_value());
+  EXPECT_NE(First->Host, Second->Host);
+  announceManifest(Table, {4}, Now);
+  EXPECT_FALSE(chooseDocumentSource(Table, DocumentKind::Manifest, Now + 900ms,
+                                    Generator));
+}
+
+// Guards against a report that does not name the hosts which lag behind.
+TEST(Roles, ReportNamesHostsThatLagBehind) {
+  const TimePoint Now{std::chrono::hours(1)};
+  auto Table = makeMemberTable(describe(0, 1, 1), {}, {}, Now);
+  auto Late = describe(1, 1, 1);
+  Late.Sequence = 1;
+  observeHeartbeat(Table, {Late, {}}, Now);
+  announceManifest(Table, {4}, Now);
+  EXPECT_EQ(reportHosts(Table, Now + 4s)[1].Behind, 4s);
+  Late.Manifest = {4};
+  Late.Sequence = 2;
+  observeHeartbeat(Table, {Late, {}}, Now + 4s);
+  EXPECT_EQ(reportHosts(Table, Now + 5s)[1].Behind, 0s);
+}
+
+} // namespace
+} // namespace comfreyrill
