LibOnce: Seal a key before its call is refused

Change: refuseCall seals the key with a record; without room for a record the mark of sealed keys rises instead. Tests/LibOnce holds the checker, which explores all interleavings of callers, issuer, relays, witness and target breadth-first over the shipped decision functions, 13 mutations of the protocol that it must find, random event sequences and unit tests.

--- a/Libraries/LibOnce/Issuer.cpp
+++ b/Libraries/LibOnce/Issuer.cpp
@@ -67,6 +67,42 @@
   return {BeginVerdict::Join, nullptr};
 }
 
+// Adds a record for a key that was not used yet; otherwise returns what becomes
+// of the call.
+std::optional<BeginDecision> openRecord(IssuerState &State,
+                                        const IdempotencyKey &Key,
+                                        std::uint64_t Fingerprint,
+                                        CallPhase Phase, TimePoint Now) {
+  Now = advanceTime(State, Now);
+  if (Key.Issuer != State.Self)
+    return BeginDecision{BeginVerdict::NotThisIncarnation, nullptr};
+  // The tag comes first, so that a guessed key learns nothing of a record.
+  if (!isKeyGenuine(Key, State.Secret))
+    return BeginDecision{BeginVerdict::Forged, nullptr};
+  dropAgedRecords(State, Now);
+  if (const IssuerRecord *Record = findRecord(State, Key))
+    return decideKnown(*Record, Fingerprint);
+  if (Key.Expiry <= State.RanMark)
+    return BeginDecision{BeginVerdict::Unknown, nullptr};
+  if (Key.Expiry <= State.SealedMark)
+    return BeginDecision{BeginVerdict::NotRun, nullptr};
+  if (Now >= Key.Expiry)
+    return BeginDecision{BeginVerdict::Expired, nullptr};
+  if (State.Table.Records.size() >= State.Limits.RecordsMaximum &&
+      !dropRecord(State)) {
+    // Only calls in flight have records, and there is no room for one more. The
+    // mark seals the key instead, or a late copy of the request could run after
+    // the caller was told not run.
+    State.SealedMark = std::max(State.SealedMark, Key.Expiry);
+  }
+  // Dropping a record can move the marks past this key.
+  if (Key.Expiry <= std::max(State.RanMark, State.SealedMark))
+    return BeginDecision{BeginVerdict::NotRun, nullptr};
+  State.Table.Records.emplace(
+      Key.Sequence, IssuerRecord{Fingerprint, Key.Expiry, Phase, nullptr});
+  return std::nullopt;
+}
+
 } // namespace
 
 IdempotencyKey issueKey(IssuerState &State, std::optional<HostProcess> Witness,
@@ -82,34 +118,24 @@
 
 BeginDecision beginCall(IssuerState &State, const IdempotencyKey &Key,
                         std::uint64_t Fingerprint, TimePoint Now) {
-  Now = advanceTime(State, Now);
-  if (Key.Issuer != State.Self)
-    return {BeginVerdict::NotThisIncarnation, nullptr};
-  // The tag comes first, so that a guessed key learns nothing of a record.
-  if (!isKeyGenuine(Key, State.Secret))
-    return {BeginVerdict::Forged, nullptr};
-  dropAgedRecords(State, Now);
-  if (const IssuerRecord *Record = findRecord(State, Key))
-    return decideKnown(*Record, Fingerprint);
-  if (Key.Expiry <= State.RanMark)
-    return {BeginVerdict::Unknown, nullptr};
-  if (Key.Expiry <= State.SealedMark)
-    return {BeginVerdict::NotRun, nullptr};
-  if (Now >= Key.Expiry)
-    return {BeginVerdict::Expired, nullptr};
-  if (State.Table.Records.size() >= State.Limits.RecordsMaximum) {
-    if (!dropRecord(State))
-      return {BeginVerdict::Busy, nullptr};
-    // The mark may have passed this key.
-    if (Key.Expiry <= std::max(State.RanMark, State.SealedMark))
-      return {BeginVerdict::NotRun, nullptr};
-  }
   CallPhase Phase = Key.Witness ? CallPhase::Requested : CallPhase::Granted;
-  State.Table.Records.emplace(
-      Key.Sequence, IssuerRecord{Fingerprint, Key.Expiry, Phase, nullptr});
+  if (std::optional<BeginDecision> Decision =
+          openRecord(State, Key, Fingerprint, Phase, Now))
+    return *Decision;
   return {Key.Witness ? BeginVerdict::AskWitness : BeginVerdict::Run, nullptr};
 }
 
+BeginDecision refuseCall(IssuerState &State, const IdempotencyKey &Key,
+                         std::uint64_t Fingerprint, std::string_view Reason,
+                         TimePoint Now) {
+  if (std::optional<BeginDecision> Decision =
+          openRecord(State, Key, Fingerprint, CallPhase::Requested, Now))
+    return *Decision;
+  return {
+      BeginVerdict::Replay,
+      seal(State, Key, *findRecord(State, Key), Reason, State.Latest).Stored};
+}
+
 GrantDecision recordGrantReply(IssuerState &State, const IdempotencyKey &Key,
                                GrantVerdict Verdict, TimePoint Now) {
   Now = advanceTime(State, Now);
--- a/Libraries/LibOnce/Issuer.h
+++ b/Libraries/LibOnce/Issuer.h
@@ -60,7 +60,7 @@
   Join,
   /// Tell the caller the stored outcome.
   Replay,
-  /// Never ran and never will: sealed long ago.
+  /// Never ran and never will: sealed, without a record.
   NotRun,
   /// May have run; the record was dropped.
   Unknown,
@@ -72,8 +72,6 @@
   Expired,
   /// Issued by another host or by an earlier process of this one; see Relay.h.
   NotThisIncarnation,
-  /// All records belong to calls in flight; not run, and the key stays usable.
-  Busy,
 };
 
 struct BeginDecision {
@@ -86,6 +84,14 @@
 BeginDecision beginCall(IssuerState &State, const IdempotencyKey &Key,
                         std::uint64_t Fingerprint, TimePoint Now);
 
+/// A call arrives under a key, but this host will not run it (it is leaving,
+/// the request is quarantined, the queue is full). Seals the key unless it is
+/// in use already; never returns AskWitness or Run. Without the seal a late
+/// copy of the request could run after the caller was told not run.
+BeginDecision refuseCall(IssuerState &State, const IdempotencyKey &Key,
+                         std::uint64_t Fingerprint, std::string_view Reason,
+                         TimePoint Now);
+
 enum class GrantStep {
   /// Run the call, beginning with beginAttempt.
   Run,
--- /dev/null
+++ b/Tests/LibOnce/ProtocolStep.cpp
@@ -0,0 +1,336 @@
+#include "ProtocolStep.h"
+
+#include <algorithm>
+
+namespace comfreyrill::testing {
+
+namespace {
+
+constexpr std::uint8_t OtherIncarnation = 255;
+
+std::string answerOf(std::size_t Key, std::size_t Fingerprint) {
+  return "answer " + std::to_string(Key) + "/" + std::to_string(Fingerprint);
+}
+
+} // namespace
+
+void ProtocolModel::Step::send(Message Sent) {
+  Next.Messages.push_back(std::move(Sent));
+}
+
+void ProtocolModel::Step::tellCaller(std::size_t Key, std::size_t Fingerprint,
+                                     CallOutcome Outcome,
+                                     const SharedOutcome &Stored) {
+  switch (Outcome) {
+  case CallOutcome::Answer:
+    Next.ToldAnswer[Key][Fingerprint] = 1;
+    if (!Stored || Stored->Answer != answerOf(Key, Fingerprint))
+      Next.WrongAnswer = true;
+    return;
+  case CallOutcome::NotRun:
+    Next.ToldNotRun[Key][Fingerprint] = 1;
+    return;
+  case CallOutcome::Unknown:
+    return;
+  }
+}
+
+void ProtocolModel::Step::tellWaiter(const Waiter &Waiting, CallOutcome Outcome,
+                                     const SharedOutcome &Stored) {
+  if (Waiting.Relay < 0)
+    return tellCaller(Waiting.Key, Waiting.Fingerprint, Outcome, Stored);
+  Message Reply;
+  Reply.Kind = MessageKind::IssuerReply;
+  Reply.Relay = static_cast<std::uint8_t>(Waiting.Relay);
+  Reply.Verdict = static_cast<std::uint8_t>(Outcome);
+  Reply.Stored = Outcome == CallOutcome::Answer ? Stored : nullptr;
+  send(std::move(Reply));
+}
+
+void ProtocolModel::Step::settled(std::size_t Key,
+                                  const SharedOutcome &Stored) {
+  std::vector<Waiter> Remaining;
+  for (const Waiter &Waiting : Next.Waiters) {
+    if (Waiting.Key == Key)
+      tellWaiter(Waiting, Stored->Outcome, Stored);
+    else
+      Remaining.push_back(Waiting);
+  }
+  Next.Waiters = std::move(Remaining);
+  if (!Model.Keys[Key].Witness)
+    return;
+  Message Notice;
+  Notice.Kind = MessageKind::Notice;
+  Notice.Key = static_cast<std::uint8_t>(Key);
+  Notice.Stored = sendableOutcome(*Next.Issuer, Stored);
+  send(std::move(Notice));
+}
+
+void ProtocolModel::Step::finish(std::size_t Key, CallOutcome Outcome,
+                                 std::string Reason,
+                                 std::optional<std::string> Answer) {
+  SharedOutcome Stored = atIssuer([&](IssuerState &State) {
+    return finishCall(State, Model.Keys[Key],
+                      {Outcome, std::move(Reason), std::move(Answer), 0},
+                      Next.IssuerNow);
+  });
+  if (Stored)
+    settled(Key, Stored);
+}
+
+void ProtocolModel::Step::granted(std::size_t Key,
+                                  const GrantDecision &Decision) {
+  if (Decision.Step == GrantStep::Run)
+    Next.PendingAttempts.push_back(static_cast<std::uint8_t>(Key));
+  if (Decision.Step == GrantStep::Settled)
+    settled(Key, Decision.Stored);
+}
+
+void ProtocolModel::Step::grantReply(std::size_t Key, GrantVerdict Verdict) {
+  granted(Key, atIssuer([&](IssuerState &State) {
+            auto Record = State.Table.Records.find(Model.Keys[Key].Sequence);
+            if (faults().AcceptLateGrants &&
+                Record != State.Table.Records.end() &&
+                Record->second.Phase == CallPhase::Finished &&
+                Record->second.Stored->Outcome == CallOutcome::NotRun)
+              Record->second.Phase = CallPhase::Requested;
+            return recordGrantReply(State, Model.Keys[Key], Verdict,
+                                    Next.IssuerNow);
+          }));
+}
+
+void ProtocolModel::Step::startRelay(std::uint8_t Key, std::uint8_t Fingerprint,
+                                     bool IssuerIsGone) {
+  Next.Relays.push_back({Key, Fingerprint, RelayStage::AwaitsIssuer});
+  auto Relay = static_cast<std::uint8_t>(Next.Relays.size() - 1);
+  if (IssuerIsGone)
+    return afterIssuer(Relay, IssuerResult::OtherIncarnation);
+  Message Call;
+  Call.Kind = MessageKind::RelayedCall;
+  Call.Key = Key;
+  Call.Fingerprint = Fingerprint;
+  Call.Relay = Relay;
+  send(std::move(Call));
+}
+
+void ProtocolModel::Step::afterIssuer(std::uint8_t Relay, IssuerResult Result) {
+  RelayedCall &Call = Next.Relays[Relay];
+  RelayStep Decided = decideAfterIssuer(Model.Keys[Call.Key], Result);
+  if (Decided == RelayStep::AskWitness) {
+    Call.Stage = RelayStage::AwaitsWitness;
+    Message Request;
+    Request.Kind = MessageKind::SealRequest;
+    Request.Key = Call.Key;
+    Request.Relay = Relay;
+    return send(std::move(Request));
+  }
+  Call.Stage = RelayStage::Done;
+  if (Decided == RelayStep::TellUnknown)
+    tellCaller(Call.Key, Call.Fingerprint, CallOutcome::Unknown, nullptr);
+}
+
+void ProtocolModel::Step::afterWitness(std::uint8_t Relay,
+                                       const SealReply *Reply) {
+  RelayedCall &Call = Next.Relays[Relay];
+  Call.Stage = RelayStage::Done;
+  RelayDecision Decision =
+      decideAfterWitness(Reply, fingerprint(Call.Fingerprint));
+  if (Reply == nullptr && faults().SilentWitnessMeansNotRun)
+    Decision.Outcome = CallOutcome::NotRun;
+  tellCaller(Call.Key, Call.Fingerprint, Decision.Outcome, Decision.Stored);
+}
+
+void ProtocolModel::Step::callArrives(std::uint8_t Key,
+                                      std::uint8_t Fingerprint, int Relay,
+                                      bool Refuses) {
+  if (Refuses && faults().RefuseWithoutSeal)
+    return tellCaller(Key, Fingerprint, CallOutcome::NotRun, nullptr);
+  BeginDecision Decision = atIssuer([&](IssuerState &State) {
+    if (Refuses)
+      return refuseCall(State, Model.Keys[Key], fingerprint(Fingerprint),
+                        "leaving", Next.IssuerNow);
+    return beginCall(State, Model.Keys[Key], fingerprint(Fingerprint),
+                     Next.IssuerNow);
+  });
+  Waiter Caller{Key, Fingerprint, Relay};
+  switch (Decision.Verdict) {
+  case BeginVerdict::AskWitness: {
+    Next.Waiters.push_back(Caller);
+    if (faults().SkipWitness)
+      return grantReply(Key, GrantVerdict::Granted);
+    Message Request;
+    Request.Kind = MessageKind::GrantRequest;
+    Request.Key = Key;
+    Request.Fingerprint = Fingerprint;
+    return send(std::move(Request));
+  }
+  case BeginVerdict::Run:
+    Next.Waiters.push_back(Caller);
+    Next.PendingAttempts.push_back(Key);
+    return;
+  case BeginVerdict::Join:
+    Next.Waiters.push_back(Caller);
+    return;
+  case BeginVerdict::Replay:
+    return tellWaiter(Caller, Decision.Stored->Outcome, Decision.Stored);
+  case BeginVerdict::Unknown:
+    return tellWaiter(Caller, CallOutcome::Unknown, nullptr);
+  case BeginVerdict::NotThisIncarnation: {
+    if (Relay < 0)
+      return startRelay(Key, Fingerprint, true);
+    Message Reply;
+    Reply.Kind = MessageKind::IssuerReply;
+    Reply.Relay = static_cast<std::uint8_t>(Relay);
+    Reply.Verdict = OtherIncarnation;
+    return send(std::move(Reply));
+  }
+  case BeginVerdict::NotRun:
+  case BeginVerdict::Conflict:
+  case BeginVerdict::Forged:
+  case BeginVerdict::Expired:
+    return tellWaiter(Caller, CallOutcome::NotRun, nullptr);
+  }
+}
+
+void ProtocolModel::Step::deliver(const Message &Sent) {
+  const IdempotencyKey &Key = Model.Keys[Sent.Key];
+  Message Reply = Sent;
+  switch (Sent.Kind) {
+  case MessageKind::RelayedCall:
+    return callArrives(Sent.Key, Sent.Fingerprint, Sent.Relay);
+  case MessageKind::IssuerReply: {
+    const RelayedCall &Call = Next.Relays[Sent.Relay];
+    if (Sent.Verdict == OtherIncarnation)
+      return afterIssuer(Sent.Relay, IssuerResult::OtherIncarnation);
+    afterIssuer(Sent.Relay, IssuerResult::Answered);
+    return tellCaller(Call.Key, Call.Fingerprint, CallOutcome{Sent.Verdict},
+                      Sent.Stored);
+  }
+  case MessageKind::GrantRequest:
+    Reply.Kind = MessageKind::GrantReply;
+    Reply.Verdict =
+        static_cast<std::uint8_t>(atWitness([&](WitnessState &State) {
+          return recordGrant(State, Key, fingerprint(Sent.Fingerprint),
+                             Next.WitnessNow);
+        }));
+    return send(std::move(Reply));
+  case MessageKind::GrantReply:
+    return grantReply(Sent.Key, GrantVerdict{Sent.Verdict});
+  case MessageKind::SealRequest: {
+    SealReply Seal = atWitness([&](WitnessState &State) {
+      if (!faults().SealWithoutRecord)
+        return sealKey(State, Key, Next.WitnessNow);
+      WitnessState Scratch = State;
+      return sealKey(Scratch, Key, Next.WitnessNow);
+    });
+    Reply.Kind = MessageKind::SealReply;
+    Reply.Verdict = static_cast<std::uint8_t>(Seal.Verdict);
+    Reply.Stored = Seal.Stored;
+    return send(std::move(Reply));
+  }
+  case MessageKind::SealReply: {
+    SealReply Seal{SealVerdict{Sent.Verdict}, Sent.Stored};
+    return afterWitness(Sent.Relay, &Seal);
+  }
+  case MessageKind::Notice:
+    atWitness([&](WitnessState &State) {
+      return recordOutcome(State, Key, *Sent.Stored, Next.WitnessNow);
+    });
+    return;
+  case MessageKind::Attempt:
+    ++Next.Runs[Sent.Key][Sent.Fingerprint];
+    Reply.Kind = MessageKind::AttemptAnswer;
+    return send(std::move(Reply));
+  case MessageKind::AttemptAnswer:
+    finish(Sent.Key, CallOutcome::Answer, "answered",
+           answerOf(Sent.Key, Sent.Fingerprint));
+    return;
+  }
+}
+
+void ProtocolModel::Step::startAttempt(std::uint8_t Key) {
+  bool Allowed = atIssuer([&](IssuerState &State) {
+    return beginAttempt(State, Model.Keys[Key], TimePoint::max(),
+                        Next.IssuerNow);
+  });
+  if (!Allowed)
+    return;
+  // The request that opened the record is the one that waits longest.
+  auto Opener =
+      std::find_if(Next.Waiters.begin(), Next.Waiters.end(),
+                   [&](const Waiter &Waiting) { return Waiting.Key == Key; });
+  Message Attempt;
+  Attempt.Kind = MessageKind::Attempt;
+  Attempt.Key = Key;
+  Attempt.Fingerprint = Opener == Next.Waiters.end() ? 0 : Opener->Fingerprint;
+  Attempt.IssuerEpoch = Next.IssuerEpoch;
+  send(std::move(Attempt));
+}
+
+void ProtocolModel::Step::shed(const Message &Attempt) {
+  if (Attempt.IssuerEpoch != Next.IssuerEpoch)
+    return;
+  atIssuer([&](IssuerState &State) {
+    recordAttemptNotRun(State, Model.Keys[Attempt.Key]);
+    return true;
+  });
+  if (Next.Retries++ < Model.Parameters.Retries)
+    Next.PendingAttempts.push_back(Attempt.Key);
+  else
+    finish(Attempt.Key, CallOutcome::NotRun, "shed", std::nullopt);
+}
+
+void ProtocolModel::Step::attemptTimeout(std::size_t Key) {
+  if (!faults().RetryWithoutProof)
+    return finish(Key, CallOutcome::Unknown, "timeout", std::nullopt);
+  atIssuer([&](IssuerState &State) {
+    recordAttemptNotRun(State, Model.Keys[Key]);
+    return true;
+  });
+  Next.PendingAttempts.push_back(static_cast<std::uint8_t>(Key));
+}
+
+void ProtocolModel::Step::discardIneffective() {
+  auto IsIneffective = [this](const Message &Sent) {
+    switch (Sent.Kind) {
+    case MessageKind::IssuerReply:
+      return Next.Relays[Sent.Relay].Stage != RelayStage::AwaitsIssuer;
+    case MessageKind::SealReply:
+      return Next.Relays[Sent.Relay].Stage != RelayStage::AwaitsWitness;
+    case MessageKind::AttemptAnswer:
+      return Sent.IssuerEpoch != Next.IssuerEpoch;
+    default:
+      return false;
+    }
+  };
+  std::erase_if(Next.Messages, IsIneffective);
+}
+
+void ProtocolModel::Step::restartIssuer() {
+  ++Next.IssuerRestarts;
+  ++Next.IssuerEpoch;
+  auto Fresh = std::make_shared<IssuerState>();
+  Fresh->Self = Next.Issuer->Self;
+  Fresh->Secret = Next.Issuer->Secret;
+  if (!faults().IssuerKeepsIncarnation) {
+    Fresh->Self.Incarnation.Value += 1000;
+    Fresh->Secret = "next secret";
+  }
+  Fresh->Limits = Next.Issuer->Limits;
+  Next.Issuer = std::move(Fresh);
+  Next.Waiters.clear();
+  Next.PendingAttempts.clear();
+}
+
+void ProtocolModel::Step::restartWitness() {
+  ++Next.WitnessRestarts;
+  auto Fresh = std::make_shared<WitnessState>();
+  Fresh->Self = Next.Witness->Self;
+  if (!faults().WitnessKeepsIncarnation)
+    Fresh->Self.Incarnation.Value += 1000;
+  Fresh->Limits = Next.Witness->Limits;
+  learnIssuer(*Fresh, Next.Issuer->Self.Incarnation, Next.Issuer->Secret);
+  Next.Witness = std::move(Fresh);
+}
+
+} // namespace comfreyrill::testing
--- /dev/null
+++ b/Tests/LibOnce/TestWitness.cpp
@@ -0,0 +1,172 @@
+#include <LibOnce/Issuer.h>
+#include <LibOnce/Witness.h>
+
+#include <gtest/gtest.h>
+
+namespace comfreyrill {
+namespace {
+
+class Witness : public ::testing::Test {
+protected:
+  Witness() {
+    Issuer.Self = {HostId("i"), HostIncarnation{1}};
+    Issuer.Secret = "secret";
+    State.Self = {HostId("w"), HostIncarnation{2}};
+    learnIssuer(State, Issuer.Self.Incarnation, Issuer.Secret);
+  }
+
+  IdempotencyKey newKey() {
+    Time.advance(std::chrono::seconds(1));
+    return issueKey(Issuer, State.Self, Time.now());
+  }
+  GrantVerdict grant(const IdempotencyKey &Key, std::uint64_t Print = 5) {
+    return recordGrant(State, Key, Print, Time.now());
+  }
+  SealVerdict seal(const IdempotencyKey &Key) {
+    return sealKey(State, Key, Time.now()).Verdict;
+  }
+  NoticeVerdict notice(const IdempotencyKey &Key, CallOutcome Outcome) {
+    std::optional<std::string> Answer;
+    if (Outcome == CallOutcome::Answer)
+      Answer = "body";
+    return recordOutcome(State, Key, {Outcome, "", Answer, 5}, Time.now());
+  }
+
+  IssuerState Issuer;
+  WitnessState State;
+  ManualClock Time;
+};
+
+// Guards against a run after a seal, and a seal after a grant.
+TEST_F(Witness, GrantAndSealExcludeEachOther) {
+  IdempotencyKey Key = newKey();
+  EXPECT_EQ(grant(Key), GrantVerdict::Granted);
+  EXPECT_EQ(grant(Key), GrantVerdict::Granted);
+  EXPECT_EQ(grant(Key, 6), GrantVerdict::Conflict);
+  EXPECT_EQ(seal(Key), SealVerdict::MayHaveRun);
+  Key = newKey();
+  EXPECT_EQ(seal(Key), SealVerdict::Sealed);
+  EXPECT_EQ(seal(Key), SealVerdict::Sealed);
+  EXPECT_EQ(grant(Key), GrantVerdict::Sealed);
+}
+
+// Guards against an issuer that dies after it has sealed its own record: the
+// caller then gets "not run" and not unknown.
+TEST_F(Witness, NoticeOfNotRunFreesTheCallerOfAGrantedKey) {
+  IdempotencyKey Key = newKey();
+  grant(Key);
+  EXPECT_EQ(notice(Key, CallOutcome::NotRun), NoticeVerdict::Recorded);
+  EXPECT_EQ(sealKey(State, Key, Time.now()).Stored->Outcome,
+            CallOutcome::NotRun);
+  EXPECT_EQ(grant(Key), GrantVerdict::Sealed);
+}
+
+TEST_F(Witness, NoticeCanOvertakeTheGrantRequest) {
+  IdempotencyKey Key = newKey();
+  EXPECT_EQ(notice(Key, CallOutcome::NotRun), NoticeVerdict::Recorded);
+  EXPECT_EQ(grant(Key), GrantVerdict::Sealed);
+}
+
+TEST_F(Witness, AnswerOutlivesItsIssuer) {
+  IdempotencyKey Key = newKey();
+  grant(Key);
+  EXPECT_EQ(notice(Key, CallOutcome::Answer), NoticeVerdict::Recorded);
+  EXPECT_EQ(notice(Key, CallOutcome::Answer), NoticeVerdict::Duplicate);
+  SealReply Reply = sealKey(State, Key, Time.now());
+  ASSERT_EQ(Reply.Verdict, SealVerdict::Finished);
+  EXPECT_EQ(Reply.Stored->Answer, "body");
+}
+
+// Guards against a defect of the issuer that stays unseen.
+TEST_F(Witness, RunOfASealedKeyIsAContradiction) {
+  IdempotencyKey Key = newKey();
+  seal(Key);
+  EXPECT_EQ(notice(Key, CallOutcome::NotRun), NoticeVerdict::Duplicate);
+  EXPECT_EQ(notice(Key, CallOutcome::Answer), NoticeVerdict::Contradiction);
+}
+
+TEST_F(Witness, KeysOfAnEarlierProcessAreRefused) {
+  IdempotencyKey Key = newKey();
+  State.Self.Incarnation.Value = 9;
+  EXPECT_EQ(grant(Key), GrantVerdict::WrongIncarnation);
+  EXPECT_EQ(seal(Key), SealVerdict::WrongIncarnation);
+  EXPECT_EQ(notice(Key, CallOutcome::Answer), NoticeVerdict::WrongIncarnation);
+}
+
+// Guards against a caller that seals or reads the key of another one by its
+// sequence.
+TEST_F(Witness, ForgedKeysAreRefusedAndLeaveNoRecord) {
+  IdempotencyKey Key = newKey();
+  grant(Key);
+  notice(Key, CallOutcome::Answer);
+  IdempotencyKey Guess = Key;
+  ++Guess.Tag;
+  EXPECT_EQ(seal(Guess), SealVerdict::Forged);
+  EXPECT_EQ(State.Table.Records.size(), 1U);
+  // Also while the secret is not known.
+  State.Issuers.at(Issuer.Self.Incarnation).Secret.clear();
+  EXPECT_EQ(seal(Guess), SealVerdict::Sealed);
+  EXPECT_EQ(seal(Key), SealVerdict::Finished);
+}
+
+// Guards against callers that fill the table with seals, and against issuers
+// that nobody has seen.
+TEST_F(Witness, SealsAreBounded) {
+  State.Limits.SealsMaximum = 1;
+  EXPECT_EQ(seal(newKey()), SealVerdict::Sealed);
+  EXPECT_EQ(seal(newKey()), SealVerdict::MayHaveRun);
+  IdempotencyKey Stranger = newKey();
+  Stranger.Issuer.Incarnation.Value = 77;
+  EXPECT_EQ(seal(Stranger), SealVerdict::MayHaveRun);
+  EXPECT_EQ(State.Table.Records.size(), 1U);
+  State.Limits.IssuersMaximum = 1;
+  EXPECT_EQ(grant(Stranger), GrantVerdict::Expired);
+  EXPECT_EQ(notice(Stranger, CallOutcome::Answer), NoticeVerdict::Refused);
+}
+
+// Guards against dropped records that are taken for keys that were never seen.
+TEST_F(Witness, DroppedRecordsAreAnsweredByTheirMark) {
+  State.Limits.RecordsMaximum = 1;
+  IdempotencyKey Granted = newKey();
+  IdempotencyKey Sealed = newKey();
+  IdempotencyKey Fresh = newKey();
+  grant(Granted);
+  seal(Sealed);
+  EXPECT_EQ(seal(Granted), SealVerdict::Expired);
+  EXPECT_EQ(grant(Fresh), GrantVerdict::Granted);
+  EXPECT_EQ(grant(Sealed), GrantVerdict::Expired);
+  EXPECT_EQ(seal(Sealed), SealVerdict::Sealed);
+  EXPECT_EQ(State.Seals, 0U);
+}
+
+// Guards against a host with a clock far ahead that makes the keys of all other
+// hosts look dropped.
+TEST_F(Witness, MarksOfOneIssuerDoNotTouchAnother) {
+  IssuerState Ahead;
+  Ahead.Self = {HostId("ahead"), HostIncarnation{3}};
+  Ahead.Secret = "other";
+  learnIssuer(State, Ahead.Self.Incarnation, Ahead.Secret);
+  IdempotencyKey Late =
+      issueKey(Ahead, State.Self, Time.now() + std::chrono::hours(1000));
+  grant(Late);
+  IdempotencyKey Key = newKey();
+  Time.advance(std::chrono::hours(1));
+  EXPECT_EQ(seal(Late), SealVerdict::Expired);
+  EXPECT_EQ(seal(Key), SealVerdict::Sealed);
+}
+
+TEST_F(Witness, OversizedCopiesAreNotKept) {
+  IdempotencyKey Key = newKey();
+  grant(Key);
+  recordOutcome(State, Key,
+                {CallOutcome::Answer, "",
+                 std::string(State.Limits.CopiedAnswerMaximumBytes + 1, 'x'),
+                 5},
+                Time.now());
+  EXPECT_EQ(State.Table.AnswerBytes, 0U);
+  EXPECT_EQ(sealKey(State, Key, Time.now()).Stored->Outcome,
+            CallOutcome::Unknown);
+}
+
+} // namespace
+} // namespace comfreyrill
