--- a/Libraries/LibPeer/Generated/Peer_types.cpp
+++ b/Libraries/LibPeer/Generated/Peer_types.cpp
@@ -1612,6 +1612,11 @@
   this->target = val;
 }
 
+void CrashEvidence::__set_answered(const bool val) {
+  this->answered = val;
+__isset.answered = true;
+}
+
 uint32_t CrashEvidence::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
@@ -1651,6 +1656,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->answered);
+          this->__isset.answered = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1680,6 +1693,11 @@
   xfer += oprot->writeString(this->target);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.answered) {
+    xfer += oprot->writeFieldBegin("answered", ::apache::thrift::protocol::T_BOOL, 3);
+    xfer += oprot->writeBool(this->answered);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1689,15 +1707,21 @@
   using ::std::swap;
   swap(a.fingerprint, b.fingerprint);
   swap(a.target, b.target);
+  swap(a.answered, b.answered);
+  swap(a.__isset, b.__isset);
 }
 
 CrashEvidence::CrashEvidence(const CrashEvidence& other46) {
   fingerprint = other46.fingerprint;
   target = other46.target;
+  answered = other46.answered;
+  __isset = other46.__isset;
 }
 CrashEvidence& CrashEvidence::operator=(const CrashEvidence& other47) {
   fingerprint = other47.fingerprint;
   target = other47.target;
+  answered = other47.answered;
+  __isset = other47.__isset;
   return *this;
 }
 
--- a/Libraries/LibPeer/Generated/Peer_types.h
+++ b/Libraries/LibPeer/Generated/Peer_types.h
@@ -732,6 +732,10 @@
 
 std::ostream& operator<<(std::ostream& out, const OutcomeNotice& obj);
 
+typedef struct _CrashEvidence__isset {
+  _CrashEvidence__isset() : answered(false) {}
+  bool answered :1;
+} _CrashEvidence__isset;
 
 class CrashEvidence : public virtual ::apache::thrift::TBase {
  public:
@@ -740,23 +744,33 @@
   CrashEvidence& operator=(const CrashEvidence&);
   CrashEvidence() noexcept
                 : fingerprint(0),
-                  target() {
+                  target(),
+                  answered(0) {
   }
 
   virtual ~CrashEvidence() noexcept;
   int64_t fingerprint;
   std::string target;
+  bool answered;
+
+  _CrashEvidence__isset __isset;
 
   void __set_fingerprint(const int64_t val);
 
   void __set_target(const std::string& val);
 
+  void __set_answered(const bool val);
+
   bool operator == (const CrashEvidence & rhs) const
   {
     if (!(fingerprint == rhs.fingerprint))
       return false;
     if (!(target == rhs.target))
       return false;
+    if (__isset.answered != rhs.__isset.answered)
+      return false;
+    else if (__isset.answered && !(answered == rhs.answered))
+      return false;
     return true;
   }
   bool operator != (const CrashEvidence &rhs) const {
--- a/Libraries/LibPeer/Peer.thrift
+++ b/Libraries/LibPeer/Peer.thrift
@@ -86,10 +86,12 @@
   2: required StoredOutcome stored
 }
 
-// Evidence that a request crashed a target.
+// Evidence that a request crashed a target; or, with answered, that the target
+// answered it completely, which clears the evidence.
 struct CrashEvidence {
   1: required i64 fingerprint
   2: required string target
+  3: optional bool answered
 }
 
 struct ErrorReply { 1: required string message }
