Replay: Replay traces against routing, baselines and an oracle

Cause: without traces no routing policy can be measured.

Random, round robin, least in flight, two choices and an oracle live beside it. Meta/bench_routing.sh prints the figures.

--- /dev/null
+++ b/Meta/bench_routing.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Replays the traces under each policy and prints their figures.
+# Usage: Meta/bench_routing.sh [NAME-PART], to run only traces with that name.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+cmake --preset default >/dev/null
+cmake --build build --target bench_routing -j 3 >/dev/null
+build/Tests/Replay/bench_routing Tests/Replay/Traces "$@"
--- /dev/null
+++ b/Tests/Replay/Policies.cpp
@@ -0,0 +1,84 @@
+#include "Policies.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace comfreyrill::replay {
+
+namespace {
+
+// Under overload the oracle refuses where all targets hold this many calls per
+// slot; with longer queues it would be easy to beat. Below, it never refuses.
+constexpr std::uint32_t OracleCallsPerSlot = 2;
+
+TargetIndex leastInFlight(const RoutingState &State,
+                          comfreyrill::Random &Source) {
+  const std::size_t Count = State.Targets.size();
+  std::size_t Index = randomIndex(Source, Count);
+  std::size_t Best = Index;
+  for (std::size_t Step = 0; Step < Count; ++Step) {
+    if (State.Targets[Index].InFlight < State.Targets[Best].InFlight)
+      Best = Index;
+    Index = (Index + 1) % Count;
+  }
+  return static_cast<TargetIndex>(Best);
+}
+
+TargetIndex twoChoices(const RoutingState &State, comfreyrill::Random &Source) {
+  const std::size_t First = randomIndex(Source, State.Targets.size());
+  const std::size_t Second = randomIndex(Source, State.Targets.size());
+  return static_cast<TargetIndex>(
+      State.Targets[First].InFlight <= State.Targets[Second].InFlight ? First
+                                                                      : Second);
+}
+
+} // namespace
+
+Choice chooseByBaseline(Policy Kind, BaselineState &Baseline,
+                        const RoutingState &State,
+                        comfreyrill::Random &Source) {
+  const std::size_t Count = State.Targets.size();
+  switch (Kind) {
+  case Policy::RoundRobin:
+    Baseline.NextTarget = (Baseline.NextTarget + 1) % Count;
+    return {ChoiceKind::Dispatch, static_cast<TargetIndex>(Baseline.NextTarget),
+            "round_robin"};
+  case Policy::LeastInFlight:
+    return {ChoiceKind::Dispatch, leastInFlight(State, Source),
+            "least_in_flight"};
+  case Policy::TwoChoices:
+    return {ChoiceKind::Dispatch, twoChoices(State, Source), "two_choices"};
+  default:
+    return {ChoiceKind::Dispatch,
+            static_cast<TargetIndex>(randomIndex(Source, Count)), "random"};
+  }
+}
+
+Choice chooseByOracle(const Trace &Input, const std::vector<TrueLoad> &Loads,
+                      const std::vector<TargetIndex> &Tried, TimePoint Now,
+                      comfreyrill::Random &Source) {
+  const std::size_t Count = Loads.size();
+  std::size_t Index = randomIndex(Source, Count);
+  Choice Best{ChoiceKind::Refuse, 0, "no_target"};
+  double BestCost = std::numeric_limits<double>::infinity();
+  for (std::size_t Step = 0; Step < Count;
+       ++Step, Index = (Index + 1) % Count) {
+    const TargetBehaviour &Target = Input.Targets[Index];
+    const bool WasTried =
+        std::find(Tried.begin(), Tried.end(), Index) != Tried.end();
+    if (WasTried || isWithin(Target.Down, Now) ||
+        isWithin(Target.Failing, Now) || isWithin(Target.Draining, Now) ||
+        (Input.Load > 1 &&
+         Loads[Index].Calls >= OracleCallsPerSlot * Input.Slots))
+      continue;
+    const double PerSlot = (Loads[Index].Calls + 1.0) / Input.Slots;
+    const double Cost = std::max(PerSlot, 1.0) / speedAt(Target, Now);
+    if (Cost < BestCost) {
+      BestCost = Cost;
+      Best = {ChoiceKind::Dispatch, static_cast<TargetIndex>(Index), "oracle"};
+    }
+  }
+  return Best;
+}
+
+} // namespace comfreyrill::replay
