LibRouting: Refuse early while most calls have to wait

Cause: under overload the queue of each host stood full and added its length to every answer time; a host also sent a call to each target at which it had none, however full the target was.

Change: while more than half of the recent calls had to wait, a call waits no longer than a quarter of an answer time. A host dispatches past the limit only when it has nothing in flight at all.

The small service under overload is still above the goal of 1.25.

--- a/Libraries/LibRouting/Choice.cpp
+++ b/Libraries/LibRouting/Choice.cpp
@@ -151,10 +151,9 @@
     return {ChoiceKind::Refuse, 0,
             Input.Tried.empty() ? "no_target" : "no_other_target"};
   }
-  // A host without a call at the target could wait for ever, because only its
-  // own answers tell it that the load has fallen.
-  if (Result.Best.LoadPerSlot >= LoadPerSlotMaximum &&
-      State.Targets[Result.Best.Target].InFlight > 0)
+  // A host with nothing in flight could wait for ever, because only its own
+  // answers tell it that the load has fallen.
+  if (Result.Best.LoadPerSlot >= LoadPerSlotMaximum && State.InFlight > 0)
     return {ChoiceKind::Wait, Result.Best.Target, "slots"};
   return {ChoiceKind::Dispatch, Result.Best.Target, Reason};
 }
--- a/Libraries/LibRouting/Queue.cpp
+++ b/Libraries/LibRouting/Queue.cpp
@@ -8,8 +8,29 @@
 
 constexpr double FinishWeight = 1.0 / 32;
 
+// About 64 calls: at the smallest service a second of one host's traffic.
+constexpr double WaitShareWeight = 1.0 / 64;
+constexpr double OverloadWaitShare = 0.5;
+
+// Under overload a queue only adds its length to each answer time, so calls may
+// wait no longer than this part of an answer time. CoDel draws the same line
+// between a queue that absorbs a burst and one that stands.
+constexpr int OverloadWaitDivisor = 4;
+
+Duration overloadWait(Duration AnswerTime) {
+  return AnswerTime / OverloadWaitDivisor;
+}
+
 } // namespace
 
+void countArrival(WaitQueue &Queue) {
+  Queue.WaitShare -= WaitShareWeight * Queue.WaitShare;
+}
+
+bool isOverloaded(const WaitQueue &Queue) {
+  return Queue.WaitShare > OverloadWaitShare;
+}
+
 void countFinish(WaitQueue &Queue, TimePoint Now) {
   if (Queue.HasFinish) {
     const double Seconds =
@@ -28,10 +49,14 @@
 
 Admission joinQueue(WaitQueue &Queue, const WaitingCall &Call,
                     std::uint32_t Length, Duration AnswerTime, TimePoint Now) {
+  Queue.WaitShare += WaitShareWeight;
   if (Queue.Calls.size() >= Length)
     return Admission::QueueFull;
   if (Now + expectedWait(Queue) + AnswerTime > Call.Deadline)
     return Admission::DeadlineTooClose;
+  if (isOverloaded(Queue) && !Queue.Calls.empty() &&
+      expectedWait(Queue) > overloadWait(AnswerTime))
+    return Admission::Overloaded;
   Queue.Calls.push_back(Call);
   return Admission::Admitted;
 }
@@ -50,8 +75,11 @@
 std::vector<std::uint64_t> takeExpired(WaitQueue &Queue, Duration AnswerTime,
                                        TimePoint Now) {
   std::vector<std::uint64_t> Expired;
+  const bool Overloaded = isOverloaded(Queue);
   std::erase_if(Queue.Calls, [&](const WaitingCall &Call) {
-    const bool IsLate = Now + AnswerTime > Call.Deadline;
+    const bool IsLate =
+        Now + AnswerTime > Call.Deadline ||
+        (Overloaded && Now - Call.Since > overloadWait(AnswerTime));
     if (IsLate)
       Expired.push_back(Call.Ticket);
     return IsLate;
--- a/Libraries/LibRouting/Queue.h
+++ b/Libraries/LibRouting/Queue.h
@@ -22,9 +22,17 @@
   double FinishIntervalSeconds = 0;
   TimePoint LastFinish;
   bool HasFinish = false;
+  /// Share of recent calls that had to wait.
+  double WaitShare = 0;
 };
 
-enum class Admission { Admitted, QueueFull, DeadlineTooClose };
+enum class Admission { Admitted, QueueFull, DeadlineTooClose, Overloaded };
+
+/// Counts a call that arrives, before it is known whether it waits.
+void countArrival(WaitQueue &Queue);
+
+/// True while most calls have to wait, which a burst does not bring about.
+bool isOverloaded(const WaitQueue &Queue);
 
 /// Counts the end of an attempt, from which the wait is predicted.
 void countFinish(WaitQueue &Queue, TimePoint Now);
@@ -42,7 +50,8 @@
 /// Takes a call out, because it was dispatched, refused or cancelled.
 void leaveQueue(WaitQueue &Queue, std::uint64_t Ticket);
 
-/// Takes out the calls that cannot be answered in time any more.
+/// Takes out the calls that cannot be answered in time any more and, under
+/// overload, those that have waited too long.
 std::vector<std::uint64_t> takeExpired(WaitQueue &Queue, Duration AnswerTime,
                                        TimePoint Now);
 
--- a/Libraries/LibRouting/Routing.cpp
+++ b/Libraries/LibRouting/Routing.cpp
@@ -90,6 +90,9 @@
     Entry.Config = Target;
     Next.push_back(std::move(Entry));
   }
+  State.InFlight = 0;
+  for (const TargetState &Target : Next)
+    State.InFlight += Target.InFlight;
   State.Config = Config;
   State.Targets = std::move(Next);
   State.Peers.clear();
@@ -102,6 +105,7 @@
 }
 
 void recordCall(RoutingState &State, TimePoint Now) {
+  countArrival(State.Queue);
   earn(State.Retries, State.Config.Retry.BudgetRatio);
   if (State.Config.Hedge.Enabled)
     earn(State.Hedges, State.Config.Hedge.BudgetRatio);
@@ -109,6 +113,7 @@
 }
 
 void recordStart(RoutingState &State, TargetIndex Target, TimePoint Now) {
+  ++State.InFlight;
   ++State.Targets[Target].InFlight;
   State.Targets[Target].Starts.push_back(Now);
 }
@@ -116,8 +121,10 @@
 void recordFinish(RoutingState &State, const AttemptResult &Result,
                   TimePoint Now) {
   TargetState &Target = State.Targets[Result.Target];
-  if (Target.InFlight > 0)
+  if (Target.InFlight > 0) {
     --Target.InFlight;
+    --State.InFlight;
+  }
   removeStart(Target, Now - Result.Elapsed);
   const double Quantile = State.Config.Hedge.Quantile;
   switch (Result.End) {
--- a/Libraries/LibRouting/RoutingState.h
+++ b/Libraries/LibRouting/RoutingState.h
@@ -75,6 +75,8 @@
   std::vector<TargetState> Targets;
   /// Most hosts that run at a time; fleet-wide limits are divided by it.
   std::uint32_t HostsMaximum = 20;
+  /// Attempts of this host in flight at all targets.
+  std::uint32_t InFlight = 0;
 
   RatioBudget Retries;
   RatioBudget Hedges;
