--- a/Libraries/LibRouting/Outlier.cpp
+++ b/Libraries/LibRouting/Outlier.cpp
@@ -9,8 +9,9 @@
 // Five in a row is Envoy's default too; fewer would eject a healthy target with
 // an occasional error.
 constexpr std::uint32_t FailureLimit = 5;
-// A refused connection leaves little doubt.
-constexpr std::uint32_t ConnectionFailureWeight = 2;
+// A refused connection leaves no doubt, and the calls that would find out again
+// spend the retry budget.
+constexpr std::uint32_t ConnectionFailureWeight = FailureLimit;
 // Ejects a target that mixes failures with answers.
 constexpr double FailureRatioLimit = 0.5;
 constexpr double FailureRatioWeight = 1.0 / 16;
