Chaos: Add the driver of fault injection runs

The promises about outcomes can be checked only against real processes that die, freeze and are replaced while callers keep books.

--- /dev/null
+++ b/Tests/Chaos/Observation.cpp
@@ -0,0 +1,156 @@
+#include "Observation.h"
+
+#include <algorithm>
+
+namespace comfreyrill::chaos {
+
+namespace {
+
+constexpr Duration AskTime = std::chrono::seconds(1);
+constexpr std::size_t HistoryLength = 32;
+
+std::uint64_t uniform(Run &Current, std::uint64_t Low, std::uint64_t High) {
+  return std::uniform_int_distribution<std::uint64_t>(Low,
+                                                      High)(Current.Generator);
+}
+
+bool mentions(const boost::json::object &Envelope, const std::string &ApplyId) {
+  if (Envelope.at("apply_id").as_string() == ApplyId)
+    return true;
+  return std::ranges::any_of(
+      Envelope.at("history").as_array(), [&](const auto &Entry) {
+        return Entry.as_object().at("apply_id").as_string() == ApplyId;
+      });
+}
+
+boost::json::object nextEnvelope(const boost::json::object &Old,
+                                 const std::string &ApplyId,
+                                 boost::json::object Manifest) {
+  boost::json::array History = Old.at("history").as_array();
+  History.insert(History.begin(),
+                 boost::json::object{{"apply_id", Old.at("apply_id")},
+                                     {"number", Old.at("number")}});
+  if (History.size() > HistoryLength)
+    History.resize(HistoryLength);
+  return {{"number", Old.at("number").to_number<std::uint64_t>() + 1},
+          {"apply_id", ApplyId},
+          {"history", std::move(History)},
+          {"manifest", std::move(Manifest)}};
+}
+
+Awaitable<Result<boost::json::object>>
+readEnvelope(Run &Current, Endpoint Platform, std::string &EntityTag) {
+  CO_TRY(const auto Response,
+         co_await ask(Current, Platform, http::verb::get, "/objects/manifest"));
+  boost::json::error_code Code;
+  auto Value = boost::json::parse(Response.body(), Code);
+  if (Response.result() != http::status::ok || Code || !Value.is_object())
+    co_return Error{ErrorKind::Unavailable, "no manifest from the platform"};
+  EntityTag = std::string(Response[http::field::etag]);
+  co_return std::move(Value.as_object());
+}
+
+} // namespace
+
+Awaitable<void> pause(Run &Current, Duration Length) {
+  Timer Wait(Current.Context.get_executor());
+  Wait.expires_after(Length);
+  co_await Wait.async_wait(UseTuple);
+}
+
+Awaitable<Result<HttpResponse>> ask(Run &Current, Endpoint Remote,
+                                    http::verb Method, std::string Path,
+                                    std::string Body, std::string IfMatch) {
+  HttpRequest Request(Method, Path, 11);
+  Request.body() = std::move(Body);
+  if (!IfMatch.empty())
+    Request.set(http::field::if_match, IfMatch);
+  HttpLimits Limits;
+  Limits.BodyBytes = std::uint64_t{256} * 1024 * 1024;
+  // A run book of a minute takes longer to write than a status.
+  const Duration Time =
+      Path.starts_with("/control/runs") ? AskTime * 20 : AskTime;
+  co_return co_await fetch(std::move(Remote), std::move(Request), Limits,
+                           Current.TimeSource.now() + Time);
+}
+
+Awaitable<void> operate(Run &Current, Fleet &Processes, std::string Name) {
+  std::uint64_t Count = 0;
+  while (Current.TimeSource.now() < Current.FaultsUntil) {
+    co_await pause(Current,
+                   std::chrono::milliseconds(uniform(Current, 200, 1200)));
+    std::string EntityTag;
+    const auto Old =
+        co_await readEnvelope(Current, Processes.platform(), EntityTag);
+    if (!Old)
+      continue;
+    const std::string ApplyId = Name + "-" + std::to_string(++Count);
+    std::string LeftOut;
+    if (uniform(Current, 0, 1) == 1) {
+      const auto Index = uniform(Current, 0, Processes.targets().size() - 1);
+      LeftOut = std::string(
+          Processes.targets()[Index].as_object().at("id").as_string());
+    }
+    const auto QueueLength =
+        static_cast<std::uint32_t>(uniform(Current, 32, 128));
+    const boost::json::object New = nextEnvelope(
+        Old.value(), ApplyId, Processes.manifest(LeftOut, QueueLength));
+    const auto Number = New.at("number").to_number<std::uint64_t>();
+    const auto Updated = co_await ask(Current, Processes.platform(),
+                                      http::verb::put, "/objects/manifest",
+                                      boost::json::serialize(New), EntityTag);
+    if (Updated && Updated.value().result() == http::status::ok) {
+      ++Current.Applied;
+      Current.HighestAccepted = std::max(Current.HighestAccepted, Number);
+      continue;
+    }
+    if (Updated &&
+        Updated.value().result() == http::status::precondition_failed) {
+      ++Current.Conflicts;
+      continue;
+    }
+    // The answer is lost or the platform is out; what is stored tells.
+    const auto Now =
+        co_await readEnvelope(Current, Processes.platform(), EntityTag);
+    if (Now && mentions(Now.value(), ApplyId)) {
+      ++Current.Applied;
+      ++Current.RecognisedAfterLoss;
+      Current.HighestAccepted = std::max(Current.HighestAccepted, Number);
+    }
+  }
+}
+
+Awaitable<void> watchHost(Run &Current, Host &Watched) {
+  while (!Current.Done) {
+    co_await pause(Current, std::chrono::milliseconds(100));
+    if (!Watched.Process || Watched.IsFrozen)
+      continue;
+    const auto Response =
+        co_await ask(Current, Watched.Admin, http::verb::get, "/v1/status");
+    if (!Response || Response.value().result() != http::status::ok)
+      continue;
+    boost::json::error_code Code;
+    const auto Status = boost::json::parse(Response.value().body(), Code);
+    if (Code || !Status.is_object())
+      continue;
+    const auto *State = Status.as_object().if_contains("state");
+    const auto *NumberField = Status.as_object().if_contains("manifest_number");
+    if (State == nullptr || NumberField == nullptr ||
+        State->as_string() == "starting")
+      continue;
+    const auto Number = NumberField->to_number<std::uint64_t>();
+    Current.ShownNow[Watched.Name] = Number;
+    auto &Highest = Current.HighestShown[Watched.Name];
+    if (Number < Highest) {
+      ++Current.Reversions;
+      Current.Violations.push_back("reversion: " + Watched.Name +
+                                   " shows manifest " + std::to_string(Number) +
+                                   " after " + std::to_string(Highest));
+    }
+    // After a step back the lower number counts, so that one fault is not
+    // reported at each look.
+    Highest = Number;
+  }
+}
+
+} // namespace comfreyrill::chaos
--- a/Tests/StandIns/Caller.cpp
+++ b/Tests/StandIns/Caller.cpp
@@ -206,6 +206,9 @@
   Next->Keyed = !Settings.Direct && Settings.KeyedShare > 0 &&
                 std::bernoulli_distribution(Settings.KeyedShare)(Generator);
   Next->Crashes = Settings.CrashEvery > 0 && Begun % Settings.CrashEvery == 0;
+  // The mark lets a comparison of books find crashing requests by their token.
+  if (Next->Crashes)
+    Next->Token += "-crash";
   Next->Due = Due;
   return Next;
 }
