--- /dev/null
+++ b/Services/Daemon/CallExecution.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "CallResult.h"
+#include "DecisionLog.h"
+#include "Metrics.h"
+#include "ServiceTable.h"
+#include "TargetExchange.h"
+
+#include <LibCore/Random.h>
+
+#include <functional>
+#include <memory>
+
+namespace comfreyrill {
+
+/// What an execution needs of the daemon; all outlive it.
+struct ExecutionContext {
+  Executor Context;
+  const Clock &TimeSource;
+  Random &Generator;
+  ConnectionPool &Pool;
+  DecisionLog &Decisions;
+  Metrics &Figures;
+  ServiceTable &Services;
+  FailureDomain HostDomain;
+  HttpLimits TargetLimits;
+};
+
+/// Asked around each attempt of a call that must not run twice.
+struct AttemptHooks {
+  /// False forbids the attempt. Empty allows every attempt.
+  std::function<bool()> MayBegin;
+  /// Told that the target cannot have run the attempt.
+  std::function<void()> ProvedNotRun;
+};
+
+/// What the attempts of a call have in common.
+struct ExecutionInput {
+  std::shared_ptr<ServiceRuntime> Runtime;
+  CallRequest Call;
+  /// The request as the target receives it.
+  HttpRequest Request;
+  RequestId Id;
+  bool IsIdempotent = false;
+  TimePoint Deadline;
+  AttemptHooks Hooks;
+  /// Told of a target that closed the connection after the request was sent.
+  std::function<void(const TargetId &Target)> OnCrash;
+  /// Asked before another attempt after a crash. Empty allows it.
+  std::function<bool()> MayRetryAfterCrash;
+};
+
+/// Runs one call: picks targets, sends attempts, retries, hedges, and says how
+/// the call ended. One object per call.
+class CallExecution : public std::enable_shared_from_this<CallExecution> {
+public:
+  CallExecution(const ExecutionContext &Environment, ExecutionInput Input);
+
+  Awaitable<CallResult> run();
+
+  /// Ends all attempts, because the caller has left.
+  void cancel();
+
+private:
+  /// One attempt in progress or ended.
+  struct Attempt {
+    std::uint32_t Number = 0;
+    TargetIndex Target = 0;
+    TargetConfig Config;
+    std::shared_ptr<AttemptHandle> Handle = std::make_shared<AttemptHandle>();
+    AttemptReport Report;
+    bool IsDone = false;
+  };
+
+  Awaitable<Choice> chooseOrWait();
+  Choice choose();
+  Awaitable<void> runAttempt(std::shared_ptr<Attempt> Current,
+                             HttpRequest &Sent);
+  std::shared_ptr<Attempt> startAttempt(TargetIndex Target);
+  void recordEnd(Attempt &Ended, TimePoint Begin, TimePoint End);
+
+  void armHedge();
+  void startHedge();
+  Awaitable<void> runHedge(std::shared_ptr<Attempt> Current);
+  /// Waits for the hedge, if there is one, and returns its answer.
+  Awaitable<std::optional<CallResult>> hedgeAnswer();
+
+  bool mayTryAgain(const AttemptReport &Report);
+  CallResult refusal(std::string_view Reason) const;
+  CallResult failure(const AttemptReport &Report) const;
+  void logChoice(const Choice &Chosen, std::string_view Event) const;
+  void logEnd(const Attempt &Ended, Duration Elapsed) const;
+
+  ExecutionContext Environment;
+  ExecutionInput Input;
+  TimePoint Started;
+  std::vector<TargetIndex> Tried;
+  std::uint32_t Attempts = 0;
+  /// True once an attempt ended that a target may have run.
+  bool MayHaveRun = false;
+  bool CallerLeft = false;
+  std::shared_ptr<Attempt> Primary;
+  std::shared_ptr<Attempt> Hedge;
+  std::optional<Timer> HedgeTimer;
+  Timer *Waiting = nullptr;
+};
+
+} // namespace comfreyrill
--- /dev/null
+++ b/Services/Daemon/ServiceTable.cpp
@@ -0,0 +1,68 @@
+#include "ServiceTable.h"
+
+namespace comfreyrill {
+
+void wakeFirstWaiter(ServiceRuntime &Runtime) {
+  const auto Ticket = headOfQueue(Runtime.Routing.Queue);
+  if (!Ticket)
+    return;
+  const auto Position = Runtime.Waiters.find(*Ticket);
+  if (Position != Runtime.Waiters.end())
+    Position->second->cancel();
+}
+
+ServiceTable::ServiceTable(const Clock &TimeSource) : TimeSource(TimeSource) {}
+
+void ServiceTable::apply(const Manifest &Next) {
+  Current = Next;
+  std::unordered_map<ServiceName, std::shared_ptr<ServiceRuntime>> Kept;
+  for (const ServiceConfig &Config : Current.Services) {
+    auto Position = Services.find(Config.Name);
+    auto Runtime = Position != Services.end()
+                       ? Position->second
+                       : std::make_shared<ServiceRuntime>();
+    updateTargets(Runtime->Routing, Config, TimeSource.now());
+    setHostsMaximum(Runtime->Routing, Current.HostsMaximum);
+    setShare(Usage, Config.Name, Config.FairShare);
+    wakeFirstWaiter(*Runtime);
+    Kept.emplace(Config.Name, std::move(Runtime));
+  }
+  Services = std::move(Kept);
+  setLeaving(std::move(LeavingAddresses));
+}
+
+void ServiceTable::setLeaving(std::unordered_set<std::string> Addresses) {
+  const auto Before = std::move(LeavingAddresses);
+  LeavingAddresses = std::move(Addresses);
+  for (const auto &[Name, Runtime] : Services) {
+    RoutingState &Routing = Runtime->Routing;
+    for (TargetIndex Index = 0; Index < Routing.Targets.size(); ++Index) {
+      const std::string &Address =
+          Routing.Targets[Index].Config.Address.Address;
+      const bool IsLeavingNow = LeavingAddresses.contains(Address);
+      // Targets that said themselves that they drain stay as they are.
+      if (IsLeavingNow || Before.contains(Address))
+        recordDraining(Routing, Index, IsLeavingNow, TimeSource.now());
+    }
+  }
+}
+
+std::shared_ptr<ServiceRuntime>
+ServiceTable::find(const ServiceName &Name) const {
+  const auto Position = Services.find(Name);
+  return Position == Services.end() ? nullptr : Position->second;
+}
+
+std::optional<TargetIndex> findTarget(const RoutingState &State,
+                                      TargetIndex LikelyIndex,
+                                      const TargetId &Id) {
+  const auto &Targets = State.Targets;
+  if (LikelyIndex < Targets.size() && Targets[LikelyIndex].Config.Id == Id)
+    return LikelyIndex;
+  for (TargetIndex Index = 0; Index < Targets.size(); ++Index)
+    if (Targets[Index].Config.Id == Id)
+      return Index;
+  return std::nullopt;
+}
+
+} // namespace comfreyrill
