Daemon: Refuse crashing requests and seal keys of refused calls

Cause: with the first keyed calls the optimised daemon ended with a double free; and a keyed call that was refused early left its key usable, so that a late copy could have run after its caller was told not run. Ruled out: a fault of the decision functions, whose tests pass under the address sanitizer. What was left is a co_await inside a branch with an aggregate temporary, which g++ 12 destroys twice; the caller stand-in ended the same way and its trace showed it.

--- a/Libraries/LibMembership/Roles.cpp
+++ b/Libraries/LibMembership/Roles.cpp
@@ -84,14 +84,14 @@
          bestCandidates(Table, Now).front().Host == Table.Self.Host;
 }
 
-std::vector<HostReport> reportHosts(const MemberTable &Table, TimePoint Now) {
-  std::vector<HostReport> Reports{{Table.Self, Liveness::Alive, {}}};
+std::vector<HostStatus> reportHosts(const MemberTable &Table, TimePoint Now) {
+  std::vector<HostStatus> Reports{{Table.Self, Liveness::Alive, {}}};
   for (const auto &Other : Table.Peers)
     Reports.push_back(
         {Other.Description, liveness(Table, Other, Now),
          Other.BehindSince ? Now - *Other.BehindSince : Duration::zero()});
   std::sort(Reports.begin(), Reports.end(),
-            [](const HostReport &One, const HostReport &Other) {
+            [](const HostStatus &One, const HostStatus &Other) {
               return One.Description.Host.Value < Other.Description.Host.Value;
             });
   return Reports;
--- a/Services/Daemon/CallExecution.cpp
+++ b/Services/Daemon/CallExecution.cpp
@@ -74,7 +74,8 @@
     auto HedgeResult = co_await hedgeAnswer();
     if (HedgeResult)
       co_return std::move(*HedgeResult);
-    if (mayTryAgain(Report)) {
+    const bool TryAgain = co_await mayTryAgain(Report);
+    if (TryAgain) {
       ++Environment.Figures.service(Input.Call.Service).Retries;
       continue;
     }
@@ -176,8 +177,10 @@
   if (Report.IsProvedNotRun && Input.Hooks.ProvedNotRun)
     Input.Hooks.ProvedNotRun();
   MayHaveRun = MayHaveRun || !Report.IsProvedNotRun;
-  if (Report.LooksLikeCrash && Input.OnCrash)
-    Input.OnCrash(Ended.Config.Id);
+  if (Report.LooksLikeCrash && Input.Crashes.OnCrash)
+    Input.Crashes.OnCrash(Ended.Config.Id);
+  if (Report.End == AttemptEnd::Answered && Input.Crashes.OnAnswer)
+    Input.Crashes.OnAnswer();
   if (Ended.Number == 1 && Report.End == AttemptEnd::Answered)
     Environment.Figures.service(Input.Call.Service)
         .AddedTime.add(Begin - Started);
@@ -249,16 +252,32 @@
   co_return answerResult(std::move(*Hedge->Report.Answer), Hedge->Config.Id);
 }
 
-bool CallExecution::mayTryAgain(const AttemptReport &Report) {
+Awaitable<bool> CallExecution::mayTryAgain(const AttemptReport &Report) {
   if (CallerLeft)
-    return false;
-  if (Report.LooksLikeCrash && Input.MayRetryAfterCrash &&
-      !Input.MayRetryAfterCrash())
-    return false;
-  return mayRetry(Input.Runtime->Routing,
-                  {Attempts, Input.Call.Depth, Input.IsIdempotent,
-                   Report.IsProvedNotRun, Input.Deadline},
-                  Environment.TimeSource.now());
+    co_return false;
+  if (Report.LooksLikeCrash && Input.Crashes.MayRetry) {
+    const bool IsAllowed = co_await mayRetryAfterCrash();
+    if (!IsAllowed)
+      co_return false;
+  }
+  co_return mayRetry(Input.Runtime->Routing,
+                     {Attempts, Input.Call.Depth, Input.IsIdempotent,
+                      Report.IsProvedNotRun, Input.Deadline},
+                     Environment.TimeSource.now());
+}
+
+// The wait lets the evidence of other hosts arrive before this copy of the
+// request can break another target.
+Awaitable<bool> CallExecution::mayRetryAfterCrash() {
+  const TimePoint CrashedAt = Environment.TimeSource.now();
+  Timer Pause(Environment.Context);
+  while (true) {
+    const CrashRetryDecision Decision = Input.Crashes.MayRetry(CrashedAt);
+    if (Decision.Kind != CrashRetryKind::Wait)
+      co_return Decision.Kind == CrashRetryKind::Retry;
+    Pause.expires_at(Decision.AskAgainAt);
+    co_await Pause.async_wait(UseTuple);
+  }
 }
 
 CallResult CallExecution::refusal(std::string_view Reason) const {
--- a/Services/Daemon/CallExecution.h
+++ b/Services/Daemon/CallExecution.h
@@ -7,6 +7,7 @@
 #include "TargetExchange.h"
 
 #include <LibCore/Random.h>
+#include <LibQuarantine/Quarantine.h>
 
 #include <functional>
 #include <memory>
@@ -34,6 +35,14 @@
   std::function<void()> ProvedNotRun;
 };
 
+/// Told of attempts that broke their target, and asked whether the call may go
+/// on. Empty functions are not called.
+struct CrashHooks {
+  std::function<void(const TargetId &Target)> OnCrash;
+  std::function<void()> OnAnswer;
+  std::function<CrashRetryDecision(TimePoint CrashedAt)> MayRetry;
+};
+
 /// What the attempts of a call have in common.
 struct ExecutionInput {
   std::shared_ptr<ServiceRuntime> Runtime;
@@ -44,10 +53,7 @@
   bool IsIdempotent = false;
   TimePoint Deadline;
   AttemptHooks Hooks;
-  /// Told of a target that closed the connection after the request was sent.
-  std::function<void(const TargetId &Target)> OnCrash;
-  /// Asked before another attempt after a crash. Empty allows it.
-  std::function<bool()> MayRetryAfterCrash;
+  CrashHooks Crashes;
 };
 
 /// Runs one call: picks targets, sends attempts, retries, hedges, and says how
@@ -61,6 +67,11 @@
   /// Ends all attempts, because the caller has left.
   void cancel();
 
+  /// Set before run.
+  void watchCrashes(CrashHooks Hooks) { Input.Crashes = std::move(Hooks); }
+  const CallRequest &call() const { return Input.Call; }
+  const HttpRequest &request() const { return Input.Request; }
+
 private:
   /// One attempt in progress or ended.
   struct Attempt {
@@ -85,7 +96,8 @@
   /// Waits for the hedge, if there is one, and returns its answer.
   Awaitable<std::optional<CallResult>> hedgeAnswer();
 
-  bool mayTryAgain(const AttemptReport &Report);
+  Awaitable<bool> mayTryAgain(const AttemptReport &Report);
+  Awaitable<bool> mayRetryAfterCrash();
   CallResult refusal(std::string_view Reason) const;
   CallResult failure(const AttemptReport &Report) const;
   void logChoice(const Choice &Chosen, std::string_view Event) const;
--- a/Services/Daemon/CallService.cpp
+++ b/Services/Daemon/CallService.cpp
@@ -1,6 +1,6 @@
 #include "CallService.h"
 
-#include <LibCore/Hash.h>
+#include <LibQuarantine/Fingerprint.h>
 
 #include <algorithm>
 
@@ -32,6 +32,20 @@
           "; correct the name or apply a manifest that has it");
 }
 
+CallResult quarantined() {
+  return notRunResult("quarantined",
+                      "the request crashed the targets that ran it and is "
+                      "refused for ten minutes; correct the request or the "
+                      "service");
+}
+
+std::uint64_t fingerprintOf(const CallRequest &Call,
+                            const HttpRequest &Request) {
+  return requestFingerprint(Call.Service,
+                            std::string_view(Request.method_string()),
+                            Call.Path, Request.body());
+}
+
 CallResult keyMissing() {
   return faultyRequestResult(
       http::status::bad_request, "key_missing",
@@ -42,8 +56,9 @@
 } // namespace
 
 CallService::CallService(const ExecutionContext &Environment, KeyedCalls &Keys,
-                         std::string IdPrefix)
-    : Environment(Environment), Keys(Keys), IdPrefix(std::move(IdPrefix)) {}
+                         QuarantineService &Quarantine, std::string IdPrefix)
+    : Environment(Environment), Keys(Keys), Quarantine(Quarantine),
+      IdPrefix(std::move(IdPrefix)) {}
 
 RequestId CallService::nextId() {
   return RequestId(IdPrefix + std::to_string(++IdCount));
@@ -131,12 +146,20 @@
 CallService::runIdempotent(ExecutionInput Input,
                            std::shared_ptr<Disconnect> CallerLeft) {
   const ServiceName Name = Input.Call.Service;
+  if (Quarantine.hasEvidence() &&
+      Quarantine.isQuarantined(fingerprintOf(Input.Call, Input.Request)))
+    co_return quarantined();
   auto Refusal = takePlaceOrRefuse(Name);
   if (Refusal)
     co_return std::move(*Refusal);
   const PlaceHolder Place(Environment.Services.usage(), Name);
   const auto Execution =
       std::make_shared<CallExecution>(Environment, std::move(Input));
+  Execution->watchCrashes(makeCrashHooks(
+      Quarantine, [Weak = std::weak_ptr(Execution)]() -> std::uint64_t {
+        const auto Running = Weak.lock();
+        return Running ? fingerprintOf(Running->call(), Running->request()) : 0;
+      }));
   CallerLeft->onOccurrence([Execution] { Execution->cancel(); });
   co_return co_await Execution->run();
 }
@@ -148,9 +171,7 @@
   KeyedCall Keyed;
   Keyed.KeyText = *Call.Key;
   Keyed.Original = Request;
-  Keyed.Fingerprint =
-      stableHash({Call.Service.Value, std::string_view(Request.method_string()),
-                  Call.Path, Request.body()});
+  Keyed.Fingerprint = fingerprintOf(Call, Request);
   Keyed.IsRelayed = Call.IsRelayed;
   Keyed.Deadline = Deadline;
   Keyed.Id = Id;
@@ -161,12 +182,17 @@
   }
   Keyed.Placement = Runtime->Routing.Config.Witness;
   const ServiceName Name = Call.Service;
-  Keyed.Refusal = takePlaceOrRefuse(Name);
+  if (Quarantine.isQuarantined(Keyed.Fingerprint))
+    Keyed.Refusal = quarantined();
+  else
+    Keyed.Refusal = takePlaceOrRefuse(Name);
   std::optional<PlaceHolder> Place;
   if (!Keyed.Refusal)
     Place.emplace(Environment.Services.usage(), Name);
   auto Input = std::make_shared<ExecutionInput>(
       makeInput(Runtime, std::move(Call), std::move(Request), Id, Deadline));
+  Input->Crashes =
+      makeCrashHooks(Quarantine, [Value = Keyed.Fingerprint] { return Value; });
   Keyed.Run = [this, Input](AttemptHooks Hooks) -> Awaitable<CallResult> {
     Input->Hooks = std::move(Hooks);
     const auto Execution =
--- a/Services/Daemon/CallService.h
+++ b/Services/Daemon/CallService.h
@@ -2,6 +2,7 @@
 
 #include "CallExecution.h"
 #include "KeyedCalls.h"
+#include "QuarantineService.h"
 
 #include <LibHttp/HttpServer.h>
 
@@ -11,7 +12,7 @@
 class CallService {
 public:
   CallService(const ExecutionContext &Environment, KeyedCalls &Keys,
-              std::string IdPrefix);
+              QuarantineService &Quarantine, std::string IdPrefix);
 
   Awaitable<HttpResponse> handle(HttpRequest Request,
                                  std::shared_ptr<Disconnect> CallerLeft);
@@ -36,6 +37,7 @@
 
   ExecutionContext Environment;
   KeyedCalls &Keys;
+  QuarantineService &Quarantine;
   std::string IdPrefix;
   std::uint64_t IdCount = 0;
   std::size_t Active = 0;
--- a/Services/Daemon/HostDaemon.cpp
+++ b/Services/Daemon/HostDaemon.cpp
@@ -98,8 +98,11 @@
   const std::string Prefix = Self.Host.Value + "-" +
                              hexadecimal(Self.Incarnation.Value).substr(0, 8) +
                              "-";
+  const auto Quarantine =
+      std::make_shared<QuarantineService>(environment(), *Members, *Mesh);
   const auto Calls =
-      std::make_shared<CallService>(environment(), *Keys, Prefix);
+      std::make_shared<CallService>(environment(), *Keys, *Quarantine, Prefix);
+  TRY(Kernel.add("quarantine", Quarantine));
   TRY(Kernel.add("keys", Keys));
   TRY(Kernel.add("calls", Calls));
   TRY(Kernel.add("host_api", std::make_shared<HostApi>(environment(), *Calls,
@@ -112,8 +115,9 @@
   TRY(const auto Documents, Kernel.find<ManifestKeeper>("documents"));
   TRY(const auto Keys, Kernel.find<KeyedCalls>("keys"));
   TRY(const auto Mesh, Kernel.find<PeerMesh>("mesh"));
-  const auto Peers = std::make_shared<PeerService>(environment(), *Members,
-                                                   *Documents, *Keys, *Mesh);
+  TRY(const auto Quarantine, Kernel.find<QuarantineService>("quarantine"));
+  const auto Peers = std::make_shared<PeerService>(
+      environment(), *Members, *Documents, *Keys, *Quarantine, *Mesh);
   const auto Platform = std::make_shared<PlatformService>(
       environment(), Configured.Platform, *Members, *Documents,
       [Peers] { Peers->announce(); });
--- a/Services/Daemon/KeyedCalls.cpp
+++ b/Services/Daemon/KeyedCalls.cpp
@@ -94,9 +94,14 @@
     co_return co_await join(Call, Key);
   case BeginVerdict::Replay:
     log(Call, "replay", Decision.Stored->Reason);
+    // The refusal that has just sealed the key says more than the record.
+    if (Call.Refusal && Call.Refusal->Reason == Decision.Stored->Reason)
+      co_return withNextKey(Call, std::move(*Call.Refusal));
     co_return withNextKey(Call, fromStored(*Decision.Stored));
   case BeginVerdict::NotRun:
     log(Call, "not_run", "key_sealed");
+    if (Call.Refusal)
+      co_return withNextKey(Call, std::move(*Call.Refusal));
     co_return withNextKey(
         Call, notRunResult("key_sealed", "the key can no longer be used and "
                                          "its request was not run; send the "
@@ -125,15 +130,9 @@
                                           "request again under the next key"));
   case BeginVerdict::NotThisIncarnation:
     co_return co_await relay(Call, Key);
-  case BeginVerdict::Busy:
-    break;
   }
-  // The key stays usable, so a copy of the request that is still on its way
-  // may run; the caller must not be told that it was not run.
-  log(Call, "unknown", "too_many_calls");
-  co_return unknownResult("too_many_calls",
-                          "this host has too many calls in flight; send the "
-                          "request again under the same key");
+  co_return unknownResult("internal", "the key's record has no known state; "
+                                      "report this as a defect");
 }
 
 Awaitable<CallResult> KeyedCalls::askWitness(KeyedCall &Call,
@@ -143,7 +142,7 @@
   GrantDecision Decision;
   const auto Address = Directory.Find(*Key.Witness);
   const TimePoint Now = Environment.TimeSource.now();
-  if (!Address || Call.Refusal) {
+  if (!Address) {
     Decision = recordGrantTimeout(Issuer, Key, Now);
   } else {
     wire::GrantRequest Request;
@@ -168,8 +167,6 @@
   log(Call, "not_run", Decision.Stored->Reason);
   notifyWitness(Key, Decision.Stored);
   wakeJoined(Key);
-  if (Call.Refusal)
-    co_return withNextKey(Call, std::move(*Call.Refusal));
   co_return withNextKey(Call, fromStored(*Decision.Stored));
 }
 
--- a/Services/Daemon/PeerService.cpp
+++ b/Services/Daemon/PeerService.cpp
@@ -24,9 +24,11 @@
 
 PeerService::PeerService(const ExecutionContext &Environment,
                          MemberTable &Members, ManifestKeeper &Documents,
-                         KeyedCalls &Keys, PeerMesh &Mesh)
+                         KeyedCalls &Keys, QuarantineService &Quarantine,
+                         PeerMesh &Mesh)
     : Environment(Environment), Members(Members), Documents(Documents),
-      Keys(Keys), Mesh(Mesh), TickTimer(Environment.Context) {}
+      Keys(Keys), Quarantine(Quarantine), Mesh(Mesh),
+      TickTimer(Environment.Context) {}
 
 void PeerService::start() {
   asio::co_spawn(
@@ -83,6 +85,8 @@
     Reply.send(Keys.onSealRequest(Body.seal_request));
   else if (Body.__isset.outcome_notice)
     Keys.onOutcomeNotice(Body.outcome_notice);
+  else if (Body.__isset.crash_evidence)
+    Quarantine.onEvidence(Body.crash_evidence);
   else if (Body.__isset.document_request)
     onDocumentRequest(Body.document_request, Reply);
 }
--- a/Services/Daemon/PeerService.h
+++ b/Services/Daemon/PeerService.h
@@ -2,6 +2,7 @@
 
 #include "KeyedCalls.h"
 #include "ManifestKeeper.h"
+#include "QuarantineService.h"
 
 #include <LibMembership/Documents.h>
 #include <LibMembership/Heartbeats.h>
@@ -15,7 +16,8 @@
 class PeerService : public std::enable_shared_from_this<PeerService> {
 public:
   PeerService(const ExecutionContext &Environment, MemberTable &Members,
-              ManifestKeeper &Documents, KeyedCalls &Keys, PeerMesh &Mesh);
+              ManifestKeeper &Documents, KeyedCalls &Keys,
+              QuarantineService &Quarantine, PeerMesh &Mesh);
 
   /// Starts to send heartbeats.
   void start();
@@ -41,6 +43,7 @@
   MemberTable &Members;
   ManifestKeeper &Documents;
   KeyedCalls &Keys;
+  QuarantineService &Quarantine;
   PeerMesh &Mesh;
   Timer TickTimer;
   bool IsStopped = false;
--- /dev/null
+++ b/Services/Daemon/QuarantineService.cpp
@@ -0,0 +1,91 @@
+#include "QuarantineService.h"
+
+#include <LibCore/Hash.h>
+
+namespace comfreyrill {
+
+QuarantineService::QuarantineService(const ExecutionContext &Environment,
+                                     const MemberTable &Members, PeerMesh &Mesh)
+    : Environment(Environment), Members(Members), Mesh(Mesh) {}
+
+bool QuarantineService::isQuarantined(std::uint64_t Fingerprint) const {
+  return !mayRun(State, Fingerprint, Environment.TimeSource.now());
+}
+
+void QuarantineService::onCrash(std::uint64_t Fingerprint,
+                                const TargetId &Target) {
+  const CrashResult Counted =
+      recordCrash(State, Fingerprint, Target, Environment.TimeSource.now());
+  log(Fingerprint, Target,
+      Counted == CrashResult::Quarantined ? "quarantine" : "count");
+  wire::CrashEvidence Message;
+  Message.__set_fingerprint(static_cast<std::int64_t>(Fingerprint));
+  Message.__set_target(Target.Value);
+  broadcast(Message);
+}
+
+void QuarantineService::onAnswer(std::uint64_t Fingerprint) {
+  if (!recordAnswer(State, Fingerprint))
+    return;
+  log(Fingerprint, TargetId(), "clear");
+  wire::CrashEvidence Message;
+  Message.__set_fingerprint(static_cast<std::int64_t>(Fingerprint));
+  Message.__set_target("");
+  Message.__set_answered(true);
+  broadcast(Message);
+}
+
+CrashRetryDecision QuarantineService::retryDecision(std::uint64_t Fingerprint,
+                                                    TimePoint CrashedAt) const {
+  return mayRetry(State, Fingerprint, CrashedAt, Environment.TimeSource.now());
+}
+
+void QuarantineService::onEvidence(const wire::CrashEvidence &Message) {
+  const auto Fingerprint = static_cast<std::uint64_t>(Message.fingerprint);
+  if (Message.__isset.answered && Message.answered) {
+    recordAnswer(State, Fingerprint);
+    return;
+  }
+  const TargetId Target(Message.target);
+  if (recordCrash(State, Fingerprint, Target, Environment.TimeSource.now()) ==
+      CrashResult::Quarantined)
+    log(Fingerprint, Target, "quarantine");
+}
+
+void QuarantineService::broadcast(const wire::CrashEvidence &Message) {
+  wire::PeerBody Body;
+  Body.__set_crash_evidence(Message);
+  const TimePoint Now = Environment.TimeSource.now();
+  for (const Peer &Other : Members.Peers)
+    if (Other.Description.isComplete() &&
+        liveness(Members, Other, Now) != Liveness::Lost &&
+        !Mesh.send(Other.Description.PeerAddress, Body))
+      ++Environment.Figures.counter("crash_evidence_dropped_total");
+}
+
+void QuarantineService::log(std::uint64_t Fingerprint, const TargetId &Target,
+                            std::string_view Decision) const {
+  LogLine Line("crash_evidence");
+  Line.field("fingerprint", hexadecimal(Fingerprint))
+      .field("target", Target.Value)
+      .field("decision", Decision);
+  Environment.Decisions.warn(Line);
+}
+
+CrashHooks makeCrashHooks(QuarantineService &Quarantine,
+                          std::function<std::uint64_t()> Fingerprint) {
+  CrashHooks Hooks;
+  Hooks.OnCrash = [&Quarantine, Fingerprint](const TargetId &Target) {
+    Quarantine.onCrash(Fingerprint(), Target);
+  };
+  Hooks.OnAnswer = [&Quarantine, Fingerprint] {
+    if (Quarantine.hasEvidence())
+      Quarantine.onAnswer(Fingerprint());
+  };
+  Hooks.MayRetry = [&Quarantine, Fingerprint](TimePoint CrashedAt) {
+    return Quarantine.retryDecision(Fingerprint(), CrashedAt);
+  };
+  return Hooks;
+}
+
+} // namespace comfreyrill
--- /dev/null
+++ b/Services/Daemon/QuarantineService.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "CallExecution.h"
+
+#include <LibMembership/MemberTable.h>
+#include <LibPeer/PeerMesh.h>
+#include <LibQuarantine/Quarantine.h>
+
+namespace comfreyrill {
+
+/// Evidence of requests that crash targets, shared with the other hosts.
+class QuarantineService {
+public:
+  QuarantineService(const ExecutionContext &Environment,
+                    const MemberTable &Members, PeerMesh &Mesh);
+
+  /// False while no request is suspected; then nothing has to be asked.
+  bool hasEvidence() const { return !State.Requests.empty(); }
+  bool isQuarantined(std::uint64_t Fingerprint) const;
+
+  /// Called by executions; tells the peers.
+  void onCrash(std::uint64_t Fingerprint, const TargetId &Target);
+  void onAnswer(std::uint64_t Fingerprint);
+  CrashRetryDecision retryDecision(std::uint64_t Fingerprint,
+                                   TimePoint CrashedAt) const;
+
+  /// Evidence of another host.
+  void onEvidence(const wire::CrashEvidence &Message);
+
+private:
+  void broadcast(const wire::CrashEvidence &Message);
+  void log(std::uint64_t Fingerprint, const TargetId &Target,
+           std::string_view Decision) const;
+
+  ExecutionContext Environment;
+  const MemberTable &Members;
+  PeerMesh &Mesh;
+  QuarantineState State;
+};
+
+/// The hooks by which an execution reports to the quarantine. The fingerprint
+/// is only computed when it is needed.
+CrashHooks makeCrashHooks(QuarantineService &Quarantine,
+                          std::function<std::uint64_t()> Fingerprint);
+
+} // namespace comfreyrill
--- a/Services/Daemon/TargetExchange.cpp
+++ b/Services/Daemon/TargetExchange.cpp
@@ -2,6 +2,8 @@
 
 #include "HeaderNames.h"
 
+#include <LibQuarantine/Quarantine.h>
+
 namespace comfreyrill {
 
 namespace {
@@ -25,6 +27,7 @@
     return;
   }
   const unsigned Status = Answer.result_int();
+  Report.LooksLikeCrash = isCrashStatus(Status);
   Report.End = Status >= 500 ? AttemptEnd::Failed : AttemptEnd::Answered;
   Report.Answer = std::move(Answer);
 }
--- a/Tests/Daemon/CallPathFixture.h
+++ b/Tests/Daemon/CallPathFixture.h
@@ -53,7 +53,12 @@
     Keys = std::make_unique<KeyedCalls>(
         Environment, HostProcess{HostId("h1"), HostIncarnation{1}}, *Mesh,
         Nobody);
-    Calls = std::make_unique<CallService>(Environment, *Keys, "test-");
+    Members = makeMemberTable(HostDescription{}, {}, MembershipSettings{},
+                              TimeSource.now());
+    Quarantine =
+        std::make_unique<QuarantineService>(Environment, Members, *Mesh);
+    Calls =
+        std::make_unique<CallService>(Environment, *Keys, *Quarantine, "test-");
   }
 
   /// Runs one call to its end.
@@ -83,7 +88,9 @@
   ServiceConfig Service;
   std::vector<std::shared_ptr<HttpServer>> Targets;
   std::shared_ptr<PeerMesh> Mesh;
+  MemberTable Members;
   std::unique_ptr<KeyedCalls> Keys;
+  std::unique_ptr<QuarantineService> Quarantine;
   std::unique_ptr<CallService> Calls;
 };
 
