Client: Add the operators' command line

Cause: operators check, apply and inspect manifests while the platform may be down and its answers may be lost.

--- /dev/null
+++ b/Utilities/Client/Arguments.cpp
@@ -0,0 +1,141 @@
+#include <Client/Arguments.h>
+
+#include <charconv>
+#include <docopt/docopt.h>
+#include <map>
+
+namespace comfreyrill {
+
+namespace {
+
+using Values = std::map<std::string, docopt::value>;
+
+constexpr std::int64_t MaximumTimeoutMs = 3'600'000;
+
+struct CommandName {
+  const char *Text;
+  Command Name;
+};
+
+constexpr CommandName CommandNames[] = {
+    {"check", Command::Check},     {"apply", Command::Apply},
+    {"fetch", Command::Fetch},     {"status", Command::Status},
+    {"targets", Command::Targets}, {"hosts", Command::Hosts},
+    {"drain", Command::Drain},     {"log", Command::Log},
+    {"version", Command::Version}};
+
+Error usageError(const std::string &Message) {
+  return {ErrorKind::InvalidInput, Message + "; see comfreyrill --help"};
+}
+
+Result<std::uint64_t> parseNumber(const std::string &Option,
+                                  const std::string &Text) {
+  std::uint64_t Number = 0;
+  const char *End = Text.data() + Text.size();
+  const auto [Position, Code] = std::from_chars(Text.data(), End, Number);
+  if (Code != std::errc() || Position != End)
+    return usageError(Option + " takes a whole number, not '" + Text + "'");
+  return Number;
+}
+
+Result<std::vector<Endpoint>> parseEndpoints(const Values &Found,
+                                             const std::string &Option) {
+  std::vector<Endpoint> Endpoints;
+  for (const std::string &Text : Found.at(Option).asStringList()) {
+    TRY(Endpoint Parsed, parseEndpoint(Text));
+    Endpoints.push_back(std::move(Parsed));
+  }
+  return Endpoints;
+}
+
+std::string text(const Values &Found, const std::string &Name) {
+  const docopt::value &Value = Found.at(Name);
+  return Value.isString() ? Value.asString() : "";
+}
+
+} // namespace
+
+const std::string &usageText() {
+  static const std::string Text = R"(Operators' client of comfreyrill.
+
+Usage:
+  comfreyrill check [--json] FILE
+  comfreyrill apply [--json] [--platform=ADDRESS]... [--host=ADDRESS]... [--timeout-ms=MS] [--based-on=N] [--wait] FILE
+  comfreyrill fetch [--json] [--platform=ADDRESS]... [--host=ADDRESS]... [--timeout-ms=MS]
+  comfreyrill status [--json] [--platform=ADDRESS]... [--host=ADDRESS]... [--timeout-ms=MS]
+  comfreyrill targets [--json] [--platform=ADDRESS]... [--host=ADDRESS]... [--timeout-ms=MS]
+  comfreyrill hosts [--json] [--platform=ADDRESS]... [--host=ADDRESS]... [--timeout-ms=MS]
+  comfreyrill drain [--json] [--platform=ADDRESS]... [--host=ADDRESS]... [--timeout-ms=MS] HOST
+  comfreyrill log [--json] [--platform=ADDRESS]... [--host=ADDRESS]... [--timeout-ms=MS] [--follow] HOST
+  comfreyrill version [--json]
+  comfreyrill --help
+
+Commands:
+  check    Check a manifest without applying it.
+  apply    Put a manifest in force if the one it was made from still is.
+  fetch    Print the manifest in force, ready to edit and apply.
+  status   Show what is in force on each host and which hosts are late.
+  targets  Show the targets and their load as one host sees them.
+  hosts    Show the entry hosts and their addresses.
+  drain    Let a host finish its calls and exit.
+  log      Print the decision log of a host.
+  version  Print the version of this client.
+
+HOST is the name of a host, or ip:port of its admin listener.
+
+Options:
+  --platform=ADDRESS  ip:port of the platform; may be given more than once.
+  --host=ADDRESS      ip:port of a host's admin listener; may be given more
+                      than once. Read-only commands need one when the platform
+                      is down.
+  --based-on=N        Number of the manifest that the change was made from;
+                      0 for none. Default: what is in force at the start.
+  --wait              Wait until all hosts have the manifest in force.
+  --timeout-ms=MS     Longest time for the command [default: 10000].
+  --follow            Go on with new lines until interrupted.
+  --json              Write JSON.
+  -h --help           Show this text.
+
+Exit codes: 0 done, 1 usage, 2 invalid input, 3 conflict, 4 unavailable,
+5 outcome unknown, 6 late hosts, 7 not found.
+)";
+  return Text;
+}
+
+std::string clientVersion() { return COMFREYRILL_VERSION; }
+
+Result<Arguments> parseArguments(const std::vector<std::string> &Words) {
+  Values Found;
+  try {
+    Found = docopt::docopt_parse(usageText(), Words, true, false);
+  } catch (const docopt::DocoptExitHelp &) {
+    return Arguments{};
+  } catch (const std::exception &) {
+    return usageError("the command line does not match any command");
+  }
+  Arguments Out;
+  for (const CommandName &Entry : CommandNames)
+    if (Found.at(Entry.Text).asBool())
+      Out.Name = Entry.Name;
+  Out.File = text(Found, "FILE");
+  Out.Host = text(Found, "HOST");
+  Out.Wait = Found.at("--wait").asBool();
+  Out.Follow = Found.at("--follow").asBool();
+  Out.Json = Found.at("--json").asBool();
+  TRY(Out.Platforms, parseEndpoints(Found, "--platform"));
+  TRY(Out.Hosts, parseEndpoints(Found, "--host"));
+  if (Found.at("--based-on")) {
+    TRY(const std::uint64_t Number,
+        parseNumber("--based-on", text(Found, "--based-on")));
+    Out.BasedOn = ManifestNumber{Number};
+  }
+  TRY(const std::uint64_t TimeoutMs,
+      parseNumber("--timeout-ms", text(Found, "--timeout-ms")));
+  if (TimeoutMs < 1 || TimeoutMs > MaximumTimeoutMs)
+    return usageError("--timeout-ms takes 1 to " +
+                      std::to_string(MaximumTimeoutMs));
+  Out.Timeout = std::chrono::milliseconds(TimeoutMs);
+  return Out;
+}
+
+} // namespace comfreyrill
--- /dev/null
+++ b/Utilities/Client/Arguments.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <LibCore/Clock.h>
+#include <LibCore/Endpoint.h>
+#include <LibCore/Ids.h>
+#include <LibCore/Result.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace comfreyrill {
+
+enum class Command {
+  Check,
+  Apply,
+  Fetch,
+  Status,
+  Targets,
+  Hosts,
+  Drain,
+  Log,
+  Version,
+  Help,
+};
+
+/// What the command line asks for.
+struct Arguments {
+  Command Name = Command::Help;
+  /// For check and apply.
+  std::string File;
+  /// For drain and log: a host's name, or ip:port of its admin listener.
+  std::string Host;
+  std::vector<Endpoint> Platforms;
+  std::vector<Endpoint> Hosts;
+  /// The manifest number that a change was made from; unset for the number in
+  /// force when the command starts.
+  std::optional<ManifestNumber> BasedOn;
+  Duration Timeout = std::chrono::seconds(10);
+  bool Wait = false;
+  bool Follow = false;
+  bool Json = false;
+};
+
+/// The help text.
+const std::string &usageText();
+
+/// The version of the client.
+std::string clientVersion();
+
+/// Reads the command line without the program's name. Fails with InvalidInput.
+Result<Arguments> parseArguments(const std::vector<std::string> &Words);
+
+} // namespace comfreyrill
