--- a/Tests/Client/TestCommands.cpp
+++ b/Tests/Client/TestCommands.cpp
@@ -18,7 +18,8 @@
   EXPECT_EQ(boost::json::parse(Printed).at("number").as_int64(), 1);
 }
 
-// Guards against read-only commands that need the platform.
+// Guards against read-only commands that need the platform, and against a
+// failure that names neither its cause nor its remedy.
 TEST_F(CommandTest, ReadsWorkWhileThePlatformIsDown) {
   applyElsewhere("one");
   Host.Answers["/v1/manifest"] = Platform.Objects["manifest"].Value;
@@ -33,6 +34,8 @@
        {Command::Fetch, Command::Status, Command::Targets, Command::Hosts}) {
     EXPECT_EQ(run(Name), ExitCode::Unavailable);
     EXPECT_NE(Complaints.find("--host"), std::string::npos) << Complaints;
+    EXPECT_NE(Complaints.find("Connection refused"), std::string::npos)
+        << Complaints;
   }
 }
 
--- a/Utilities/Client/FleetView.cpp
+++ b/Utilities/Client/FleetView.cpp
@@ -37,6 +37,17 @@
   co_return Status;
 }
 
+// Status of the first given host that answers.
+Awaitable<Result<HostStatus>> askGivenHosts(ClientContext &Context) {
+  Result<HostStatus> Last = noSource();
+  for (const Endpoint &Host : Context.Options.Hosts) {
+    Last = co_await askHost(Context, Host);
+    if (Last)
+      break;
+  }
+  co_return Last;
+}
+
 Awaitable<Result<HostReport>> readReport(ClientContext &Context) {
   if (Context.Options.Platforms.empty())
     co_return noSource();
@@ -47,10 +58,13 @@
   co_return parseHostReport(Object.value().Value);
 }
 
-// An error of the last source alone would hide that others were tried.
-Error withRemedy(const Error &Last) {
+// The failure of the source that was named most precisely, with the remedy.
+Error withRemedy(const ClientContext &Context, const Error &HostCause,
+                 const Error &ReportCause) {
   Error Cause = noSource();
-  Cause.Message += " (last: " + Last.Message + ")";
+  const bool HasHosts = !Context.Options.Hosts.empty();
+  if (HasHosts || !Context.Options.Platforms.empty())
+    Cause.Message += " (" + (HasHosts ? HostCause : ReportCause).Message + ")";
   return Cause;
 }
 
@@ -85,17 +99,12 @@
 }
 
 Awaitable<Result<HostStatus>> observeHost(ClientContext &Context) {
-  Result<HostStatus> Last = noSource();
-  for (const Endpoint &Host : Context.Options.Hosts) {
-    Last = co_await askHost(Context, Host);
-    if (Last)
-      co_return Last;
-  }
+  Result<HostStatus> Last = co_await askGivenHosts(Context);
+  if (Last)
+    co_return Last;
   const auto Report = co_await readReport(Context);
-  if (!Report) {
-    const bool HasHosts = !Context.Options.Hosts.empty();
-    co_return withRemedy(HasHosts ? Last.error() : Report.error());
-  }
+  if (!Report)
+    co_return withRemedy(Context, Last.error(), Report.error());
   for (const HostReportEntry &Entry : Report.value().Hosts) {
     if (Entry.State == "lost" || Entry.State == "suspect")
       continue;
@@ -103,24 +112,19 @@
     if (Last)
       co_return Last;
   }
-  co_return withRemedy(Last.error());
+  co_return withRemedy(Context, Last.error(), Last.error());
 }
 
 Awaitable<Result<FleetView>> observeFleet(ClientContext &Context) {
   FleetView View;
-  Result<HostStatus> Status = noSource();
-  for (const Endpoint &Host : Context.Options.Hosts) {
-    Status = co_await askHost(Context, Host);
-    if (Status)
-      break;
-  }
+  Result<HostStatus> Status = co_await askGivenHosts(Context);
   if (Status) {
     View.Hosts = hostsOf(Status.value());
     View.Services = std::move(Status.value().Services);
   } else {
     const auto Report = co_await readReport(Context);
     if (!Report)
-      co_return withRemedy(Report.error());
+      co_return withRemedy(Context, Status.error(), Report.error());
     for (const HostReportEntry &Entry : Report.value().Hosts) {
       HostDescription Host;
       Host.Host = Entry.Host;
