LibOnce: Halve the memory of records

Cause: 200,000 records at the issuer and as many at the witness took 41 and 51 MB without answers, more than the 64 MB that all control may take. Change: answers that were given up share one object, a record of the witness no longer repeats the issuer, answers are charged their overhead, and the limits are 100,000 records and 4 MiB of answers in each of the two tables.

--- a/Libraries/LibOnce/Issuer.cpp
+++ b/Libraries/LibOnce/Issuer.cpp
@@ -19,12 +19,12 @@
 }
 
 bool dropRecord(IssuerState &State) {
-  std::optional<IssuerRecord> Dropped = dropOldest(State.Table);
+  auto Dropped = dropOldest(State.Table);
   if (!Dropped)
     return false;
   TimePoint &Mark =
-      mayHaveRun(Dropped->Stored) ? State.RanMark : State.SealedMark;
-  Mark = std::max(Mark, Dropped->Expiry);
+      mayHaveRun(Dropped->Value.Stored) ? State.RanMark : State.SealedMark;
+  Mark = std::max(Mark, Dropped->Value.Expiry);
   return true;
 }
 
--- a/Libraries/LibOnce/Outcome.h
+++ b/Libraries/LibOnce/Outcome.h
@@ -57,19 +57,20 @@
   SharedOutcome Stored;
 };
 
-/// Bounds on the memory and age of records; the same at issuer and witness.
+/// Bounds on the memory and age of records. The issuer and the witness of a
+/// host have one table each.
 struct OnceLimits {
   /// A key may be started for so long after its issue.
   Duration KeyLifetime = std::chrono::minutes(15);
   /// Records are kept for so long after the latest moment at which their key
   /// can expire.
   Duration Retention = std::chrono::minutes(10);
-  std::size_t RecordsMaximum = 200'000;
+  std::size_t RecordsMaximum = 100'000;
   /// Seals of keys that were never granted. Callers cause them, so their share
   /// is bounded; otherwise they could displace the grants.
-  std::size_t SealsMaximum = 50'000;
-  /// Answers kept, in total; beyond it the oldest are given up.
-  std::size_t AnswerBytesMaximum = std::size_t{8} << 20;
+  std::size_t SealsMaximum = 25'000;
+  /// Memory of all answers that are kept; beyond it the oldest are given up.
+  std::size_t AnswerBytesMaximum = std::size_t{4} << 20;
   /// Largest answer that is copied to the witness.
   std::size_t CopiedAnswerMaximumBytes = std::size_t{16} << 10;
   /// Issuer processes that a witness distinguishes. At 73 restarts per day the
@@ -77,6 +78,10 @@
   std::size_t IssuersMaximum = 65'536;
 };
 
+/// Stands in records for all answers that were given up, because an object for
+/// each of them would take more memory than the record. It has no fingerprint.
+const SharedOutcome &answerNotKept();
+
 /// The outcome as it is, or as unknown ("answer_not_kept") when its answer
 /// exceeds a size.
 SharedOutcome withBoundedAnswer(SharedOutcome Stored, std::size_t MaximumBytes);
--- a/Libraries/LibOnce/RecordTable.h
+++ b/Libraries/LibOnce/RecordTable.h
@@ -23,14 +23,26 @@
   std::size_t AnswerBytes = 0;
 };
 
+/// Heap memory of a kept answer beyond its bytes, so that many small answers do
+/// not exceed the limit by their overhead.
+inline constexpr std::size_t AnswerOverheadBytes = 192;
+
 inline std::size_t answerSize(const SharedOutcome &Stored) {
-  return Stored && Stored->Answer ? Stored->Answer->size() : 0;
+  return Stored && Stored->Answer ? Stored->Answer->size() + AnswerOverheadBytes
+                                  : 0;
 }
 
+/// A record that was dropped to make room or for its age.
+template <typename Id, typename Record> struct DroppedRecord {
+  Id Key;
+  Record Value;
+};
+
 /// Drops the oldest queued record and returns it, or nothing when none is
 /// queued.
 template <typename Id, typename Record>
-std::optional<Record> dropOldest(RecordTable<Id, Record> &Table) {
+std::optional<DroppedRecord<Id, Record>>
+dropOldest(RecordTable<Id, Record> &Table) {
   if (Table.Order.empty())
     return std::nullopt;
   auto Node = Table.Records.extract(Table.Order.front().Key);
@@ -39,7 +51,7 @@
   while (!Table.AnswerOrder.empty() &&
          !Table.Records.contains(Table.AnswerOrder.front()))
     Table.AnswerOrder.pop_front();
-  return std::move(Node.mapped());
+  return DroppedRecord<Id, Record>{Node.key(), std::move(Node.mapped())};
 }
 
 /// Stores the outcome in a record and gives up the oldest answers while there
@@ -48,11 +60,12 @@
 void storeOutcome(RecordTable<Id, Record> &Table, const Id &Key,
                   Record &Settled, SharedOutcome Stored,
                   std::size_t AnswerBytesMaximum) {
-  Settled.Stored = withBoundedAnswer(std::move(Stored), AnswerBytesMaximum);
-  std::size_t Size = answerSize(Settled.Stored);
-  if (Size == 0)
+  if (answerSize(Stored) > AnswerBytesMaximum)
+    Stored = answerNotKept();
+  Settled.Stored = std::move(Stored);
+  if (!Settled.Stored->Answer)
     return;
-  Table.AnswerBytes += Size;
+  Table.AnswerBytes += answerSize(Settled.Stored);
   Table.AnswerOrder.push_back(Key);
   while (Table.AnswerBytes > AnswerBytesMaximum) {
     auto Oldest = Table.Records.find(Table.AnswerOrder.front());
@@ -60,8 +73,7 @@
     if (Oldest == Table.Records.end())
       continue;
     Table.AnswerBytes -= answerSize(Oldest->second.Stored);
-    Oldest->second.Stored =
-        withBoundedAnswer(std::move(Oldest->second.Stored), 0);
+    Oldest->second.Stored = answerNotKept();
   }
 }
 
--- a/Libraries/LibOnce/Witness.cpp
+++ b/Libraries/LibOnce/Witness.cpp
@@ -18,14 +18,15 @@
 }
 
 void dropRecord(WitnessState &State) {
-  std::optional<WitnessRecord> Dropped = dropOldest(State.Table);
+  auto Dropped = dropOldest(State.Table);
   if (!Dropped)
     return;
-  if (Dropped->Phase == WitnessPhase::Sealed)
+  if (Dropped->Value.Phase == WitnessPhase::Sealed)
     --State.Seals;
-  WitnessedIssuer &Issuer = State.Issuers[Dropped->Issuer];
-  TimePoint &Mark = isSealed(*Dropped) ? Issuer.SealedMark : Issuer.GrantedMark;
-  Mark = std::max(Mark, Dropped->Expiry);
+  WitnessedIssuer &Issuer = State.Issuers[Dropped->Key.Issuer];
+  TimePoint &Mark =
+      isSealed(Dropped->Value) ? Issuer.SealedMark : Issuer.GrantedMark;
+  Mark = std::max(Mark, Dropped->Value.Expiry);
 }
 
 WitnessedIssuer *findOrAddIssuer(WitnessState &State, HostIncarnation Issuer) {
@@ -49,6 +50,15 @@
       .first->second;
 }
 
+// The relay compares the fingerprint, so it goes with the outcome.
+SharedOutcome storedOf(const WitnessRecord &Record) {
+  if (Record.Stored->Fingerprint == Record.Fingerprint)
+    return Record.Stored;
+  StoredOutcome Copy = *Record.Stored;
+  Copy.Fingerprint = Record.Fingerprint;
+  return std::make_shared<const StoredOutcome>(std::move(Copy));
+}
+
 WitnessRecord *findRecord(WitnessState &State, const IdempotencyKey &Key) {
   auto Position = State.Table.Records.find(recordId(Key));
   return Position == State.Table.Records.end() ? nullptr : &Position->second;
@@ -79,9 +89,7 @@
   if (Issuer == nullptr || Key.Expiry <= Issuer->SealedMark)
     return GrantVerdict::Expired;
   addRecord(State, Key,
-            {Key.Issuer.Incarnation, Fingerprint, Key.Expiry,
-             WitnessPhase::Granted, nullptr},
-            Now);
+            {Fingerprint, Key.Expiry, WitnessPhase::Granted, nullptr}, Now);
   return GrantVerdict::Granted;
 }
 
@@ -103,7 +111,7 @@
     case WitnessPhase::Sealed:
       return {SealVerdict::Sealed, nullptr};
     case WitnessPhase::Finished:
-      return {SealVerdict::Finished, Record->Stored};
+      return {SealVerdict::Finished, storedOf(*Record)};
     }
   }
   if (Key.Expiry <= Issuer->second.GrantedMark)
@@ -114,10 +122,7 @@
   if (State.Seals >= State.Limits.SealsMaximum)
     return {SealVerdict::MayHaveRun, nullptr};
   ++State.Seals;
-  addRecord(
-      State, Key,
-      {Key.Issuer.Incarnation, 0, Key.Expiry, WitnessPhase::Sealed, nullptr},
-      Now);
+  addRecord(State, Key, {0, Key.Expiry, WitnessPhase::Sealed, nullptr}, Now);
   return {SealVerdict::Sealed, nullptr};
 }
 
@@ -137,10 +142,9 @@
   // A notice of not run can overtake the grant request that it belongs to; the
   // record then refuses the late grant.
   if (Record == nullptr)
-    Record = &addRecord(State, Key,
-                        {Key.Issuer.Incarnation, Outcome.Fingerprint,
-                         Key.Expiry, WitnessPhase::Granted, nullptr},
-                        Now);
+    Record = &addRecord(
+        State, Key,
+        {Outcome.Fingerprint, Key.Expiry, WitnessPhase::Granted, nullptr}, Now);
   Record->Phase = WitnessPhase::Finished;
   SharedOutcome Stored = withBoundedAnswer(
       std::make_shared<const StoredOutcome>(std::move(Outcome)),
--- a/Libraries/LibOnce/Witness.h
+++ b/Libraries/LibOnce/Witness.h
@@ -22,7 +22,8 @@
 } // namespace comfreyrill
 
 template <> struct std::hash<comfreyrill::WitnessRecordId> {
-  std::size_t operator()(const comfreyrill::WitnessRecordId &Id) const {
+  std::size_t
+  operator()(const comfreyrill::WitnessRecordId &Id) const noexcept {
     // The tag is uniform already.
     return static_cast<std::size_t>(Id.Tag ^ Id.Sequence);
   }
@@ -33,7 +34,6 @@
 enum class WitnessPhase : std::uint8_t { Granted, Sealed, Finished };
 
 struct WitnessRecord {
-  HostIncarnation Issuer;
   std::uint64_t Fingerprint = 0;
   TimePoint Expiry;
   WitnessPhase Phase = WitnessPhase::Granted;
--- a/Tests/LibOnce/TestProtocol.cpp
+++ b/Tests/LibOnce/TestProtocol.cpp
@@ -159,7 +159,7 @@
   Parameters.Duplicates = 6;
   Parameters.Retries = 3;
   Parameters.RecordsMaximum = *rc::gen::inRange<std::size_t>(1, 4);
-  Parameters.AnswerBytesMaximum = *rc::gen::element<std::size_t>(10, 1024);
+  Parameters.AnswerBytesMaximum = *rc::gen::element<std::size_t>(10, 250, 1024);
   ProtocolModel Model(Parameters);
   World Current = Model.initial();
   auto Choices = *rc::gen::container<std::vector<std::uint16_t>>(
--- a/Tests/LibOnce/TestWitness.cpp
+++ b/Tests/LibOnce/TestWitness.cpp
@@ -155,6 +155,22 @@
   EXPECT_EQ(seal(Key), SealVerdict::Sealed);
 }
 
+// Guards against an answer that was given up and is then taken for a conflict,
+// because its fingerprint is gone.
+TEST_F(Witness, GivenUpAnswerKeepsItsFingerprint) {
+  State.Limits.AnswerBytesMaximum = AnswerOverheadBytes + 4;
+  IdempotencyKey First = newKey();
+  IdempotencyKey Second = newKey();
+  for (const IdempotencyKey &Key : {First, Second}) {
+    grant(Key);
+    notice(Key, CallOutcome::Answer);
+  }
+  SealReply Reply = sealKey(State, First, Time.now());
+  EXPECT_EQ(Reply.Stored->Outcome, CallOutcome::Unknown);
+  EXPECT_EQ(Reply.Stored->Fingerprint, 5U);
+  EXPECT_EQ(sealKey(State, Second, Time.now()).Stored->Answer, "body");
+}
+
 TEST_F(Witness, OversizedCopiesAreNotKept) {
   IdempotencyKey Key = newKey();
   grant(Key);
