LibRouting: Limit target queues by whether the host is overloaded

Cause: a limit of 2 calls per slot held calls back below overload because the estimate is uncertain, and under overload hosts switched in and out of the early refusal.

Change: 3.5 calls per slot below overload and 1.5 under it; overload is one call in five waiting, and a call then waits at most a sixteenth of an answer time. Near targets may be 1.3 times as busy; a report counts for half an answer time.

Ruled out: thresholds of 0.1 to 0.5, limits of 2 to 5, smoothing over 16 or 32 calls.

--- a/Libraries/LibRouting/Choice.cpp
+++ b/Libraries/LibRouting/Choice.cpp
@@ -16,12 +16,20 @@
 constexpr Duration RampTime = std::chrono::seconds(3);
 constexpr double RampStart = 0.2;
 
-// Calls per slot, running and waiting, above which a target gets no more: its
-// queue then holds as many calls as it runs.
-constexpr double LoadPerSlotMaximum = 2;
+// Calls per slot, running and waiting, above which a target gets no more. The
+// estimate is uncertain, so a low limit would hold calls back while slots are
+// free; under overload slots are never free and each call in a target's queue
+// only adds to the answer times.
+constexpr double LoadPerSlotMaximum = 3.5;
+constexpr double OverloadLoadPerSlotMaximum = 1.5;
 
-// A near target may be this much busier before a far one is preferred.
-constexpr double FarFactor = 1.02;
+// A near target may be this much busier before a far one is preferred. Hosts
+// that share near targets also hear of them more often; at a factor of 4 the
+// near ones were overloaded.
+constexpr double FarFactor = 1.3;
+
+// A report loses its worth within half an answer time.
+constexpr double MemoryPerAnswer = 0.5;
 
 // Assumed until answers have been timed.
 constexpr double DefaultAnswerSeconds = 0.02;
@@ -130,7 +138,8 @@
   const double Answer = State.Answers.Samples > 0 ? State.Answers.MeanSeconds
                                                   : DefaultAnswerSeconds;
   const double Age =
-      std::chrono::duration<double>(Now - Target.ReportedAt).count() / Answer;
+      std::chrono::duration<double>(Now - Target.ReportedAt).count() /
+      (Answer * MemoryPerAnswer);
   const double Left = 1 / (1 + Age + Age * Age / 2);
   return Target.InFlight + Mean + (Target.OthersAtReport - Mean) * Left;
 }
@@ -153,7 +162,9 @@
   }
   // A host with nothing in flight could wait for ever, because only its own
   // answers tell it that the load has fallen.
-  if (Result.Best.LoadPerSlot >= LoadPerSlotMaximum && State.InFlight > 0)
+  const double Limit = isOverloaded(State.Queue) ? OverloadLoadPerSlotMaximum
+                                                 : LoadPerSlotMaximum;
+  if (Result.Best.LoadPerSlot >= Limit && State.InFlight > 0)
     return {ChoiceKind::Wait, Result.Best.Target, "slots"};
   return {ChoiceKind::Dispatch, Result.Best.Target, Reason};
 }
--- a/Libraries/LibRouting/Queue.cpp
+++ b/Libraries/LibRouting/Queue.cpp
@@ -10,12 +10,12 @@
 
 // About 64 calls: at the smallest service a second of one host's traffic.
 constexpr double WaitShareWeight = 1.0 / 64;
-constexpr double OverloadWaitShare = 0.5;
+constexpr double OverloadWaitShare = 0.2;
 
 // Under overload a queue only adds its length to each answer time, so calls may
 // wait no longer than this part of an answer time. CoDel draws the same line
 // between a queue that absorbs a burst and one that stands.
-constexpr int OverloadWaitDivisor = 4;
+constexpr int OverloadWaitDivisor = 16;
 
 Duration overloadWait(Duration AnswerTime) {
   return AnswerTime / OverloadWaitDivisor;
--- a/Libraries/LibRouting/Queue.h
+++ b/Libraries/LibRouting/Queue.h
@@ -31,7 +31,7 @@
 /// Counts a call that arrives, before it is known whether it waits.
 void countArrival(WaitQueue &Queue);
 
-/// True while most calls have to wait, which a burst does not bring about.
+/// True while many calls have to wait, which a burst does not bring about.
 bool isOverloaded(const WaitQueue &Queue);
 
 /// Counts the end of an attempt, from which the wait is predicted.
