LibRouting: Cache per target what each decision divides by

Change: slots, relative answer time, connection share and nearness are kept per target, next to each other; the age scale is computed once per decision.

--- a/Libraries/LibRouting/Choice.cpp
+++ b/Libraries/LibRouting/Choice.cpp
@@ -47,8 +47,6 @@
 };
 
 double rampFactor(TargetState &Target, TimePoint Now) {
-  if (!Target.Ramping)
-    return 1;
   const Duration Age = Now - Target.RampSince;
   if (Age >= RampTime) {
     Target.Ramping = false;
@@ -58,39 +56,63 @@
                                  static_cast<double>(RampTime.count()));
 }
 
-// A host's share of the connections that the target accepts from all hosts.
-bool hasConnection(const RoutingState &State, const TargetState &Target) {
-  const std::uint32_t Share =
-      Target.Config.MaxConnections / std::max(State.HostsMaximum, 1U);
-  return Target.InFlight < std::max(Share, 1U);
-}
-
 bool wasTried(const ChoiceInput &Input, TargetIndex Index) {
   return std::find(Input.Tried.begin(), Input.Tried.end(), Index) !=
          Input.Tried.end();
 }
 
-void consider(RoutingState &State, const ChoiceInput &Input, TimePoint Now,
-              TargetIndex Index, bool IgnoreEjection, Scan &Result) {
-  TargetState &Target = State.Targets[Index];
-  if (Target.Draining || wasTried(Input, Index))
+// The factor that turns the age of a report in nanoseconds into a multiple of
+// the time that a report is worth something.
+double ageScale(const RoutingState &State) {
+  const double Answer = State.Answers.Samples > 0 ? State.Answers.MeanSeconds
+                                                  : DefaultAnswerSeconds;
+  return 1e-9 / (Answer * MemoryPerAnswer);
+}
+
+// What a report says of the other hosts' calls loses its worth as these calls
+// end: the part that is left after some time is the reported one, the rest is
+// the mean over all targets. The factor 1 / (1 + x + x^2 / 2) stands in for
+// e^-x, because it is cheaper.
+double loadAt(const TargetState &Target, double MeanOthersPerSlot,
+              double AgeScale, TimePoint Now) {
+  const double Mean = MeanOthersPerSlot * Target.Slots;
+  if (!Target.HasReport)
+    return Target.InFlight + Mean;
+  const double Age =
+      static_cast<double>((Now - Target.ReportedAt).count()) * AgeScale;
+  const double Left = 1 / (1 + Age + Age * Age / 2);
+  return Target.InFlight + Mean + (Target.OthersAtReport - Mean) * Left;
+}
+
+struct Scanning {
+  RoutingState &State;
+  const ChoiceInput &Input;
+  TimePoint Now;
+  double AgeScale;
+  bool IgnoreEjection;
+};
+
+void consider(const Scanning &Scanning, TargetIndex Index, Scan &Result) {
+  TargetState &Target = Scanning.State.Targets[Index];
+  if (Target.Draining || wasTried(Scanning.Input, Index))
     return;
-  if (endEjection(Target.Outlier, Now)) {
+  if (Target.Outlier.Ejected && endEjection(Target.Outlier, Scanning.Now)) {
     Target.Ramping = true;
-    Target.RampSince = Now;
+    Target.RampSince = Scanning.Now;
   }
-  if (Target.Outlier.Ejected && !IgnoreEjection)
+  if (Target.Outlier.Ejected && !Scanning.IgnoreEjection)
     return;
-  if (!hasConnection(State, Target)) {
+  if (Target.InFlight >= Target.ConnectionShare) {
     Result.OnlyConnectionsLack = true;
     return;
   }
-  const double Slots = std::max(Target.Config.Slots, 1U);
-  const double Speed =
-      relativeSpeed(Target.Speed, State.Answers) * rampFactor(Target, Now);
-  const double PerSlot = estimatedLoad(State, Target, Now) / Slots;
-  double Cost = (1 + PerSlot * PerSlot * PerSlot) / Speed;
-  if (Target.Config.Domain != Input.HostDomain)
+  const double PerSlot = loadAt(Target, Scanning.State.MeanOthersPerSlot,
+                                Scanning.AgeScale, Scanning.Now) *
+                         Target.InverseSlots;
+  double Cost = (1 + PerSlot * PerSlot * PerSlot) * Target.Slowness;
+  if (Target.Ramping)
+    Cost /= rampFactor(Target, Scanning.Now);
+  if (!Target.Near)
     Cost *= FarFactor;
   if (Cost < Result.Best.Cost)
     Result.Best = {Index, Cost, PerSlot, true};
@@ -98,56 +120,49 @@
 
 Scan scanTargets(RoutingState &State, const ChoiceInput &Input, TimePoint Now,
                  bool IgnoreEjection, Random &Generator) {
+  const Scanning Scanning{State, Input, Now, ageScale(State), IgnoreEjection};
   Scan Result;
   const std::size_t Count = State.Targets.size();
   if (Count <= FullScanMaximum) {
     // The start is random so that equal targets are equally likely.
     std::size_t Index = randomIndex(Generator, Count);
     for (std::size_t Step = 0; Step < Count; ++Step) {
-      consider(State, Input, Now, static_cast<TargetIndex>(Index),
-               IgnoreEjection, Result);
+      consider(Scanning, static_cast<TargetIndex>(Index), Result);
       if (++Index == Count)
         Index = 0;
     }
     return Result;
   }
   for (const TargetIndex Recent : State.RecentReports)
-    if (Recent < Count)
-      consider(State, Input, Now, Recent, IgnoreEjection, Result);
+    consider(Scanning, Recent, Result);
   for (std::size_t Step = 0; Step < SampleSize; ++Step)
-    consider(State, Input, Now,
-             static_cast<TargetIndex>(randomIndex(Generator, Count)),
-             IgnoreEjection, Result);
+    consider(Scanning, static_cast<TargetIndex>(randomIndex(Generator, Count)),
+             Result);
   // A sample of a large service may miss the few targets that are usable.
   for (TargetIndex Index = 0; !Result.Best.Found && Index < Count; ++Index)
-    consider(State, Input, Now, Index, IgnoreEjection, Result);
+    consider(Scanning, Index, Result);
   return Result;
 }
 
+void setHostDomain(RoutingState &State, const FailureDomain &Domain) {
+  State.HostDomain = Domain;
+  for (TargetState &Target : State.Targets)
+    Target.Near = Target.Config.Domain == Domain;
+}
+
 } // namespace
 
-// What a report says of the other hosts' calls loses its worth as these calls
-// end: the part that is left after some answer times is the reported one, the
-// rest is the mean over all targets. The factor 1 / (1 + x + x^2 / 2) stands in
-// for e^-x, because it is cheaper.
 double estimatedLoad(const RoutingState &State, const TargetState &Target,
                      TimePoint Now) {
-  const double Mean = State.MeanOthersPerSlot * Target.Config.Slots;
-  if (!Target.HasReport)
-    return Target.InFlight + Mean;
-  const double Answer = State.Answers.Samples > 0 ? State.Answers.MeanSeconds
-                                                  : DefaultAnswerSeconds;
-  const double Age =
-      std::chrono::duration<double>(Now - Target.ReportedAt).count() /
-      (Answer * MemoryPerAnswer);
-  const double Left = 1 / (1 + Age + Age * Age / 2);
-  return Target.InFlight + Mean + (Target.OthersAtReport - Mean) * Left;
+  return loadAt(Target, State.MeanOthersPerSlot, ageScale(State), Now);
 }
 
 Choice chooseTarget(RoutingState &State, const ChoiceInput &Input,
                     TimePoint Now, Random &Generator) {
   if (State.Targets.empty())
     return {ChoiceKind::Refuse, 0, "no_target"};
+  if (State.HostDomain != Input.HostDomain)
+    setHostDomain(State, Input.HostDomain);
   Scan Result = scanTargets(State, Input, Now, false, Generator);
   std::string_view Reason = "least_loaded";
   if (!Result.Best.Found && !Result.OnlyConnectionsLack) {
--- a/Libraries/LibRouting/Routing.cpp
+++ b/Libraries/LibRouting/Routing.cpp
@@ -89,6 +89,9 @@
     // Peers count by position, which may have changed.
     Entry.PeerInFlight = 0;
     Entry.Config = Target;
+    Entry.Near = Target.Domain == State.HostDomain;
+    Entry.Slots = std::max(Target.Slots, 1U);
+    Entry.InverseSlots = 1 / Entry.Slots;
     Next.push_back(std::move(Entry));
   }
   State.InFlight = 0;
@@ -96,13 +99,17 @@
     State.InFlight += Target.InFlight;
   State.Config = Config;
   State.Targets = std::move(Next);
+  setHostsMaximum(State, State.HostsMaximum);
   State.Peers.clear();
   State.RecentReports.clear();
   State.NextRecentReport = 0;
 }
 
 void setHostsMaximum(RoutingState &State, std::uint32_t HostsMaximum) {
-  State.HostsMaximum = HostsMaximum;
+  State.HostsMaximum = std::max(HostsMaximum, 1U);
+  for (TargetState &Target : State.Targets)
+    Target.ConnectionShare =
+        std::max(Target.Config.MaxConnections / State.HostsMaximum, 1U);
 }
 
 void recordCall(RoutingState &State, TimePoint Now) {
@@ -133,6 +140,7 @@
     countFinish(State.Queue, Now);
     countSuccess(Target.Outlier);
     recordAnswerTime(Target.Speed, State.Answers, Result.Elapsed, Quantile);
+    Target.Slowness = relativeSlowness(Target.Speed, State.Answers);
     return;
   case AttemptEnd::Cancelled:
     recordCancelledTime(State.Answers, Result.Elapsed, Quantile);
@@ -164,8 +172,7 @@
       Reported > Target.InFlight ? Reported - Target.InFlight : 0;
   Target.ReportedAt = Now;
   Target.HasReport = true;
-  const double PerSlot =
-      Target.OthersAtReport / std::max(Target.Config.Slots, 1U);
+  const double PerSlot = Target.OthersAtReport * Target.InverseSlots;
   State.MeanOthersPerSlot += (State.HasMeanOthers ? MeanOthersWeight : 1) *
                              (PerSlot - State.MeanOthersPerSlot);
   State.HasMeanOthers = true;
--- a/Libraries/LibRouting/RoutingState.h
+++ b/Libraries/LibRouting/RoutingState.h
@@ -47,23 +47,33 @@
 
 /// Routing state of one target, as one host sees it.
 struct TargetState {
-  TargetConfig Config;
+  // What each decision reads stands first, so that it shares cache lines.
   std::uint32_t InFlight = 0;
+  /// This host's share of the connections that the target accepts.
+  std::uint32_t ConnectionShare = 1;
   bool Draining = false;
-
-  /// When this host started the attempts that are still in flight.
-  std::vector<TimePoint> Starts;
+  bool Ramping = false;
+  bool HasReport = false;
+  /// In the failure domain of RoutingState::HostDomain.
+  bool Near = false;
   /// Load of all other hosts at the time of the last trusted report.
   double OthersAtReport = 0;
   TimePoint ReportedAt;
-  bool HasReport = false;
+  double Slots = 1;
+  double InverseSlots = 1;
+  /// Answer time relative to the service, at least 1.
+  double Slowness = 1;
+  OutlierState Outlier;
+
+  TargetConfig Config;
+
+  /// When this host started the attempts that are still in flight.
+  std::vector<TimePoint> Starts;
   /// Sum of the in-flight counts of peers.
   std::uint32_t PeerInFlight = 0;
   /// Weight ramps up from here after a start or an ejection.
   TimePoint RampSince;
-  bool Ramping = false;
 
-  OutlierState Outlier;
   TrustState Trust;
   SpeedState Speed;
   /// When any host that told of it probed the target last.
@@ -76,6 +86,8 @@
 struct RoutingState {
   ServiceConfig Config;
   std::vector<TargetState> Targets;
+  /// The domain for which TargetState::Near holds.
+  FailureDomain HostDomain;
   /// Most hosts that run at a time; fleet-wide limits are divided by it.
   std::uint32_t HostsMaximum = 20;
   /// Attempts of this host in flight at all targets.
--- a/Libraries/LibRouting/Speed.cpp
+++ b/Libraries/LibRouting/Speed.cpp
@@ -16,7 +16,7 @@
 // A target is called slow only when its mean is this much above the service's,
 // which chance rarely reaches with the weight above.
 constexpr double SlowFactor = 1.6;
-constexpr double SpeedMinimum = 0.05;
+constexpr double SlownessMaximum = 20;
 constexpr std::uint32_t SamplesMinimum = 8;
 
 void moveQuantile(AnswerTimes &Service, double Seconds, double Quantile) {
@@ -58,11 +58,11 @@
     moveQuantile(Service, Seconds, Quantile);
 }
 
-double relativeSpeed(const SpeedState &Target, const AnswerTimes &Service) {
+double relativeSlowness(const SpeedState &Target, const AnswerTimes &Service) {
   if (Target.Samples < SamplesMinimum || Service.MeanSeconds <= 0 ||
       Target.MeanSeconds <= SlowFactor * Service.MeanSeconds)
     return 1;
-  return std::max(Service.MeanSeconds / Target.MeanSeconds, SpeedMinimum);
+  return std::min(Target.MeanSeconds / Service.MeanSeconds, SlownessMaximum);
 }
 
 } // namespace comfreyrill
--- a/Libraries/LibRouting/Speed.h
+++ b/Libraries/LibRouting/Speed.h
@@ -30,8 +30,8 @@
 void recordCancelledTime(AnswerTimes &Service, Duration Elapsed,
                          double Quantile);
 
-/// Speed of a target relative to the service, at most 1. Differences that
-/// chance explains count as 1.
-double relativeSpeed(const SpeedState &Target, const AnswerTimes &Service);
+/// Answer time of a target relative to the service, at least 1. Differences
+/// that chance explains count as 1.
+double relativeSlowness(const SpeedState &Target, const AnswerTimes &Service);
 
 } // namespace comfreyrill
