LibRouting: Test each mechanism of the decisions

Cause: the mechanisms had no tests of their own.

A host without a report of its own now goes by what its peers have in flight, and counts of a silent peer expire after 1 s.

--- a/Libraries/LibRouting/Choice.cpp
+++ b/Libraries/LibRouting/Choice.cpp
@@ -72,12 +72,13 @@
 // What a report says of the other hosts' calls loses its worth as these calls
 // end: the part that is left after some time is the reported one, the rest is
 // the mean over all targets. The factor 1 / (1 + x + x^2 / 2) stands in for
-// e^-x, because it is cheaper.
+// e^-x, because it is cheaper. Without a report of its own a host goes by what
+// its peers have in flight, unless that is below the mean.
 double loadAt(const TargetState &Target, double MeanOthersPerSlot,
               double AgeScale, TimePoint Now) {
   const double Mean = MeanOthersPerSlot * Target.Slots;
   if (!Target.HasReport)
-    return Target.InFlight + Mean;
+    return Target.InFlight + std::max<double>(Mean, Target.PeerInFlight);
   const double Age =
       static_cast<double>((Now - Target.ReportedAt).count()) * AgeScale;
   const double Left = 1 / (1 + Age + Age * Age / 2);
--- a/Libraries/LibRouting/Routing.cpp
+++ b/Libraries/LibRouting/Routing.cpp
@@ -16,6 +16,9 @@
 // report; connecting takes about 1 ms and the way 0.5 ms.
 constexpr Duration SettleTime = std::chrono::milliseconds(5);
 
+// Peers send four times a second; one that is silent for this long is suspect.
+constexpr Duration PeerLifetime = std::chrono::seconds(1);
+
 // Knowledge that is younger needs no probe.
 constexpr Duration ReportAgeForProbe = std::chrono::milliseconds(200);
 constexpr Duration DrainingProbeInterval = std::chrono::milliseconds(500);
@@ -201,6 +204,9 @@
 void recordPeerLoad(RoutingState &State, const HostId &Host,
                     const std::vector<PeerTargetLoad> &Loads, TimePoint Now) {
   forgetPeer(State, Host);
+  for (std::size_t Index = State.Peers.size(); Index-- > 0;)
+    if (Now - State.Peers[Index].At > PeerLifetime)
+      forgetPeer(State, HostId(State.Peers[Index].Host));
   PeerState Peer{Host, Now, std::vector<std::uint32_t>(State.Targets.size())};
   for (const PeerTargetLoad &Load : Loads)
     if (Load.Target < Peer.InFlight.size())
--- /dev/null
+++ b/Tests/LibRouting/TestProbe.cpp
@@ -0,0 +1,126 @@
+#include "Fixture.h"
+
+#include <rapidcheck.h>
+
+#include <algorithm>
+
+namespace comfreyrill {
+namespace {
+
+class ProbeTest : public RoutingTest {
+protected:
+  std::optional<TargetIndex> call(Duration Step) {
+    Time.advance(Step);
+    recordCall(State, Time.now());
+    return mayProbe(State, Time.now());
+  }
+};
+
+// Guards against probes that only the rate or only the ratio limits.
+TEST_F(ProbeTest, BothBoundsHold) {
+  configure(4);
+  int Probes = 0;
+  for (int Call = 0; Call < 10000; ++Call)
+    Probes += call(std::chrono::milliseconds(1)).has_value();
+  // 50 per second over 20 hosts in 10 s; the ratio would permit 200.
+  EXPECT_LE(Probes, 25);
+  EXPECT_GE(Probes, 22);
+  Probes = 0;
+  for (int Call = 0; Call < 1000; ++Call)
+    Probes += call(std::chrono::seconds(1)).has_value();
+  EXPECT_LE(Probes, 22);
+  EXPECT_GE(Probes, 18);
+}
+
+// Guards against a measuring budget of zero that still probes.
+TEST_F(ProbeTest, ZeroBudgetNeverProbes) {
+  Config.Measuring.ProbesPerSecond = 0;
+  configure(4);
+  for (int Call = 0; Call < 1000; ++Call)
+    EXPECT_FALSE(call(std::chrono::seconds(1)));
+}
+
+// Guards against draining targets whose return nobody notices.
+TEST_F(ProbeTest, DrainingTargetIsProbedFirst) {
+  configure(8);
+  recordDraining(State, 5, true, Time.now());
+  for (int Call = 0; Call < 1000; ++Call)
+    if (const auto Target = call(std::chrono::milliseconds(20))) {
+      EXPECT_EQ(*Target, 5U);
+      return;
+    }
+  FAIL() << "no probe was permitted";
+}
+
+// Guards against probes for what answers have just told.
+TEST_F(ProbeTest, FreshReportNeedsNoProbe) {
+  configure(2);
+  for (int Call = 0; Call < 1000; ++Call) {
+    report(0, 1);
+    report(1, 1);
+    EXPECT_FALSE(call(std::chrono::milliseconds(20)));
+  }
+}
+
+struct FleetHost {
+  RoutingState State;
+  TimePoint PausedUntil;
+};
+
+// Guards against a fleet that together exceeds its measuring budget while hosts
+// are replaced, paused, added or removed: at each moment the probes of all
+// hosts stay below both bounds, counted from the start.
+TEST(ProbeFleet, BudgetHoldsUnderEveryMembership) {
+  rc::check([] {
+    const auto HostsMaximum = *rc::gen::inRange<std::uint32_t>(1, 20);
+    ServiceConfig Config;
+    Config.Measuring.ProbesPerSecond = *rc::gen::inRange(1, 200);
+    Config.Measuring.ProbesPerHundredCalls = *rc::gen::inRange(1, 50);
+    Config.Targets.resize(3);
+    Random Generator(*rc::gen::arbitrary<std::uint64_t>());
+    TimePoint Now{std::chrono::hours(1)};
+    const TimePoint Start = Now;
+    const auto fresh = [&] {
+      FleetHost Host;
+      setHostsMaximum(Host.State, HostsMaximum);
+      updateTargets(Host.State, Config, Now);
+      return Host;
+    };
+    std::vector<FleetHost> Hosts(1, fresh());
+    double Calls = 0;
+    double Probes = 0;
+    for (int Step = 0; Step < 3000; ++Step) {
+      Now += std::chrono::microseconds(randomIndex(Generator, 20000));
+      const std::size_t Index = randomIndex(Generator, Hosts.size());
+      switch (randomIndex(Generator, 200)) {
+      case 0:
+        Hosts[Index] = fresh();
+        break;
+      case 1:
+        Hosts[Index].PausedUntil =
+            Now + std::chrono::milliseconds(randomIndex(Generator, 60000));
+        break;
+      case 2:
+        if (Hosts.size() < HostsMaximum)
+          Hosts.push_back(fresh());
+        break;
+      case 3:
+        if (Hosts.size() > 1)
+          Hosts.erase(Hosts.begin() + static_cast<std::ptrdiff_t>(Index));
+        break;
+      default:
+        if (Now < Hosts[Index].PausedUntil)
+          break;
+        recordCall(Hosts[Index].State, Now);
+        ++Calls;
+        Probes += mayProbe(Hosts[Index].State, Now).has_value();
+      }
+      const double Elapsed = std::chrono::duration<double>(Now - Start).count();
+      RC_ASSERT(Probes <= Config.Measuring.ProbesPerSecond * Elapsed);
+      RC_ASSERT(Probes <= Config.Measuring.ProbesPerHundredCalls / 100 * Calls);
+    }
+  });
+}
+
+} // namespace
+} // namespace comfreyrill
