--- /dev/null
+++ b/Meta/processes.sh
@@ -0,0 +1,129 @@
+# Functions that run.sh and bench_path.sh share: starting the real processes on
+# free ports and ending them by id. Sourced after "set -euo pipefail".
+
+BUILD=${BUILD:-build}
+WORK=$(mktemp -d)
+PIDS=()
+
+end_processes() {
+  local Pid
+  for Pid in "${PIDS[@]}"; do kill "$Pid" 2>/dev/null || true; done
+  for Pid in "${PIDS[@]}"; do
+    # A draining host serves on for its address lifetime; the second signal
+    # ends it at once.
+    kill "$Pid" 2>/dev/null || true
+    wait "$Pid" 2>/dev/null || true
+  done
+  PIDS=()
+}
+
+fail() {
+  echo "$0: $*; outputs are in $WORK" >&2
+  exit 1
+}
+
+# Runs a program in the background with its output in a file.
+start() { # NAME PROGRAM ARGUMENT...
+  local Name=$1
+  shift
+  "$@" >"$WORK/$Name.out" 2>"$WORK/$Name.err" &
+  PIDS+=($!)
+  printf -v "PID_${Name//-/_}" %s "$!"
+}
+
+# Waits for a pattern in a file and prints its first match.
+await() { # FILE EXTENDED-REGULAR-EXPRESSION
+  local Attempt
+  for ((Attempt = 0; Attempt < 500; ++Attempt)); do
+    if grep -m1 -oE "$2" "$1" 2>/dev/null; then return 0; fi
+    sleep 0.02
+  done
+  return 1
+}
+
+# Prints the value of "NAME":"..." from the first line of an output.
+member() { # FILE NAME
+  local Found
+  Found=$(await "$1" "\"$2\":\"[^\"]*\"") || fail "no $2 in $1"
+  Found=${Found#*:\"}
+  echo "${Found%\"}"
+}
+
+start_platform() {
+  start platform "$BUILD/Tests/StandIns/standin-platform"
+  PLATFORM=$(member "$WORK/platform.out" listen)
+  PLATFORM_CONTROL=$(member "$WORK/platform.out" control)
+}
+
+# Starts targets; sets TARGETS to "id address" lines.
+start_targets() { # COUNT BEHAVIOUR
+  start targets "$BUILD/Tests/StandIns/standin-target" --count "$1" --behaviour "$2"
+  await "$WORK/targets.out" '"targets":' >/dev/null || fail "the targets did not start"
+  TARGET_CONTROL=$(member "$WORK/targets.out" control)
+  TARGETS=$(grep -oE '"id":"[^"]*","address":"[^"]*"' "$WORK/targets.out" |
+    sed -E 's/"id":"([^"]*)","address":"([^"]*)"/\1 \2/')
+}
+
+# Prints the manifest for the targets, which are spread over three domains.
+manifest() { # SLOTS ADDRESS-LIFETIME-MS
+  local Separator="" Index=0 Id Address Domains=(a b c)
+  printf '{"hosts_maximum":6,"address_lifetime_ms":%s,"services":[{"name":"stock","operations":[{"method":"POST","path_prefix":"/checkout","idempotent":false}],"targets":[' "$2"
+  while read -r Id Address; do
+    printf '%s{"id":"%s","address":"%s","failure_domain":"%s","slots":%s}' \
+      "$Separator" "$Id" "$Address" "${Domains[Index++ % 3]}" "$1"
+    Separator=,
+  done <<<"$TARGETS"
+  printf ']}]}\n'
+}
+
+# Puts a manifest in force with the client, or as an envelope if it is not built.
+apply() { # FILE
+  local Client="$BUILD/Utilities/Client/comfreyrill"
+  if [ -x "$Client" ]; then
+    "$Client" apply "$1" --platform "$PLATFORM"
+    return
+  fi
+  printf '{"number":1,"apply_id":"run-1","history":[],"manifest":%s}' "$(cat "$1")" |
+    curl -sS -f -X PUT -H 'If-None-Match: *' --data-binary @- "http://$PLATFORM/objects/manifest" >/dev/null
+}
+
+# Starts a host; sets CALLER_n, PEER_n and ADMIN_n.
+start_host() { # NUMBER DOMAIN
+  local Seeds="" Index Variable Address
+  for ((Index = 1; Index < $1; ++Index)); do
+    Variable=PEER_$Index
+    Seeds+="${Seeds:+,}\"${!Variable}\""
+  done
+  Address=127.0.0.$1
+  cat >"$WORK/h$1.json" <<EOF
+{"host":"h$1","failure_domain":"$2","caller_address":"$Address:0","peer_address":"$Address:0",
+ "admin_address":"$Address:0","platform":["$PLATFORM"],"seeds":[$Seeds],
+ "log":{"level":"${LOG_LEVEL:-info}","path":""}}
+EOF
+  start "h$1" "$BUILD/Services/Daemon/comfreyrilld" --settings "$WORK/h$1.json"
+  for Variable in caller peer admin; do
+    Address=$(await "$WORK/h$1.out" "event=listening.* ${Variable}_address=[^ ]*") || fail "host h$1 does not listen"
+    printf -v "${Variable^^}_$1" %s "${Address##*=}"
+  done
+}
+
+# Waits until a host is ready with a manifest and sees its peers.
+await_ready() { # NUMBER PEERS
+  local Variable=ADMIN_$1 Attempt Status
+  for ((Attempt = 0; Attempt < 200; ++Attempt)); do
+    Status=$(curl -s "http://${!Variable}/v1/status" || true)
+    if grep -q '^{[^[]*"state":"ready"' <<<"$Status" &&
+      [ "$(grep -o '"state":"ready"' <<<"$Status" | wc -l)" -gt "$2" ]; then
+      return
+    fi
+    sleep 0.05
+  done
+  fail "host h$1 did not become ready"
+}
+
+# Processor time of a process in clock ticks.
+ticks() { # PID
+  local Fields
+  read -r -a Fields <"/proc/$1/stat"
+  echo $((Fields[13] + Fields[14]))
+}
--- /dev/null
+++ b/Meta/run.sh
@@ -0,0 +1,80 @@
+#!/usr/bin/env bash
+# Builds everything, runs three hosts with a platform and targets on loopback,
+# sends a request of each kind and prints its answer with the decisions behind
+# it. Exits non-zero when an answer is missing or not the expected one.
+# Usage: Meta/run.sh [--keep]; --keep leaves the processes up until Ctrl-C.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+if [ -z "${SKIP_BUILD:-}" ]; then
+  Meta/install_packages.sh
+  cmake --preset default >/dev/null
+  cmake --build build
+fi
+source Meta/processes.sh
+trap end_processes EXIT
+FAILED=0
+
+# Sends one request, prints what came back and the decisions with its request
+# id, and compares status and outcome.
+call() { # TITLE STATUS OUTCOME HOST-NUMBER PATH CURL-ARGUMENT...
+  local Title=$1 Status=$2 Outcome=$3 Variable=CALLER_$4 Path=$5 Got Verdict Id Index
+  shift 5
+  echo "== $Title"
+  Got=$(curl -sS -m 10 -o "$WORK/body" -D "$WORK/head" -w '%{http_code}' "$@" "http://${!Variable}$Path" || echo 000)
+  sed -i 's/\r$//' "$WORK/head"
+  Verdict=$(sed -n 's/^Comfreyrill-Outcome: //p' "$WORK/head")
+  Id=$(sed -n 's/^Comfreyrill-Request-Id: //p' "$WORK/head")
+  echo "   h$4 $Path -> $Got, outcome ${Verdict:-none}, $(grep -E '^Comfreyrill-(Target|Reason)' "$WORK/head" | tr '\n' ' ')"
+  echo "   body: $(head -c 300 "$WORK/body" | tr '\n' ' ')"
+  for Index in 1 2 3; do
+    [ -z "$Id" ] || grep -hF "request=$Id " "$WORK/h$Index.out" | sed "s/^/   h$Index: /" || true
+  done
+  if [ "$Got" != "$Status" ] || [ "$Verdict" != "$Outcome" ]; then
+    echo "   FAILED: expected $Status, outcome ${Outcome:-none}"
+    FAILED=1
+  fi
+}
+
+new_key() { # HOST-NUMBER
+  local Variable=CALLER_$1
+  curl -sS -m 5 -X POST "http://${!Variable}/v1/keys?service=stock&count=1" | sed -E 's/.*"keys":\["([^"]*)".*/\1/'
+}
+
+start_platform
+start_targets 6 '{"mean_ms":2,"slots":4}'
+manifest 4 1000 >"$WORK/manifest.json"
+apply "$WORK/manifest.json"
+start_host 1 a
+start_host 2 b
+start_host 3 c
+for Number in 1 2 3; do await_ready "$Number" 2; done
+echo "platform $PLATFORM, hosts $CALLER_1 $CALLER_2 $CALLER_3, admin $ADMIN_1 $ADMIN_2 $ADMIN_3"
+
+call "addresses and keys for a caller" 200 "" 1 "/v1/addresses?service=stock&keys=1"
+call "idempotent lookup" 200 answer 1 "/v1/call/stock/lookup?token=lookup-1"
+KEY=$(new_key 1)
+call "checkout under a key" 200 answer 1 "/v1/call/stock/checkout?token=checkout-1" -X POST -H "Idempotency-Key: $KEY" -d one
+call "the same key again: the stored answer" 200 answer 1 "/v1/call/stock/checkout?token=checkout-1" -X POST -H "Idempotency-Key: $KEY" -d one
+call "the same key through another host: relayed to the issuer" 200 answer 2 "/v1/call/stock/checkout?token=checkout-1" -X POST -H "Idempotency-Key: $KEY" -d one
+call "the same key for another request: refused" 409 not-run 1 "/v1/call/stock/checkout?token=checkout-1" -X POST -H "Idempotency-Key: $KEY" -d two
+call "checkout without a key: refused" 400 not-run 1 "/v1/call/stock/checkout?token=checkout-2" -X POST -d one
+call "unknown service" 404 not-run 1 "/v1/call/unheard/lookup"
+call "nested too deep" 400 not-run 1 "/v1/call/stock/lookup?token=deep" -H "Comfreyrill-Depth: 10"
+curl -sS -f -X POST -d '{"service_time":"fixed","mean_ms":400}' "http://$TARGET_CONTROL/control/behaviour" >/dev/null
+call "deadline passes while the checkout runs: unknown" 504 unknown 3 "/v1/call/stock/checkout?token=checkout-3" -X POST -H "Idempotency-Key: $(new_key 3)" -H "Comfreyrill-Timeout-Ms: 100" -d one
+curl -sS -f -X POST -d '{"mean_ms":2}' "http://$TARGET_CONTROL/control/behaviour" >/dev/null
+call "request that crashes its target: unknown" 504 unknown 2 "/v1/call/stock/checkout?token=crash-1&crash=1" -X POST -H "Idempotency-Key: $(new_key 2)" -d one
+call "the same request again crashes a second target" 504 unknown 3 "/v1/call/stock/checkout?token=crash-1&crash=1" -X POST -H "Idempotency-Key: $(new_key 3)" -d one
+call "the third time it is in quarantine" 503 not-run 1 "/v1/call/stock/checkout?token=crash-1&crash=1" -X POST -H "Idempotency-Key: $(new_key 1)" -d one
+RUNS=$(curl -sS "http://$TARGET_CONTROL/control/runs" | grep -o '"checkout-1"' | wc -l)
+echo "== runs of checkout-1 in the targets' book: $RUNS"
+[ "$RUNS" -eq 1 ] || FAILED=1
+
+if [ "${1:-}" = --keep ]; then
+  echo "the processes stay up; end them with Ctrl-C. Outputs are in $WORK"
+  wait
+fi
+[ "$FAILED" -eq 0 ] || fail "an answer is missing or wrong"
+end_processes
+rm -r "$WORK"
+echo "run: all answers as expected"
