--- a/Libraries/LibRouting/RoutingState.h
+++ b/Libraries/LibRouting/RoutingState.h
@@ -66,7 +66,10 @@
   OutlierState Outlier;
   TrustState Trust;
   SpeedState Speed;
+  /// When any host that told of it probed the target last.
   TimePoint ProbedAt;
+  /// Time of the last report on whether the target drains.
+  TimePoint HeardAt;
 };
 
 /// Routing state of one service on one host.
@@ -75,6 +78,8 @@
   std::vector<TargetState> Targets;
   /// Most hosts that run at a time; fleet-wide limits are divided by it.
   std::uint32_t HostsMaximum = 20;
+  /// Attempts of this host in flight at all targets.
+  std::uint32_t InFlight = 0;
 
   /// A host that has just started may retry before it has earned anything.
   RatioBudget Retries{10};
