Daemon: Probe targets within the budget and use the platform client

Cause: the measurement budget was earned but never spent, and the daemon had a second client of the object API beside LibPlatform. Change: a probe asks GET /load of the target of which the last news is oldest; PlatformService uses PlatformClient; heartbeats use the conversion of LibPeer. The report leaves out hosts whose admin address is not known yet, which made 'comfreyrill status' fail, and the status states incarnations as numbers.

--- a/Libraries/LibMembership/Roles.cpp
+++ b/Libraries/LibMembership/Roles.cpp
@@ -84,14 +84,14 @@
          bestCandidates(Table, Now).front().Host == Table.Self.Host;
 }
 
-std::vector<HostStatus> reportHosts(const MemberTable &Table, TimePoint Now) {
-  std::vector<HostStatus> Reports{{Table.Self, Liveness::Alive, {}}};
+std::vector<MemberStatus> reportHosts(const MemberTable &Table, TimePoint Now) {
+  std::vector<MemberStatus> Reports{{Table.Self, Liveness::Alive, {}}};
   for (const auto &Other : Table.Peers)
     Reports.push_back(
         {Other.Description, liveness(Table, Other, Now),
          Other.BehindSince ? Now - *Other.BehindSince : Duration::zero()});
   std::sort(Reports.begin(), Reports.end(),
-            [](const HostStatus &One, const HostStatus &Other) {
+            [](const MemberStatus &One, const MemberStatus &Other) {
               return One.Description.Host.Value < Other.Description.Host.Value;
             });
   return Reports;
--- a/Libraries/LibMembership/Roles.h
+++ b/Libraries/LibMembership/Roles.h
@@ -25,7 +25,7 @@
 bool isReporter(const MemberTable &Table, TimePoint Now);
 
 /// One line of the report.
-struct HostStatus {
+struct MemberStatus {
   HostDescription Description;
   Liveness State = Liveness::Alive;
   /// How long the host has announced an older manifest than this host's.
@@ -33,6 +33,6 @@
 };
 
 /// All hosts that are not forgotten, this one included, sorted by host id.
-std::vector<HostStatus> reportHosts(const MemberTable &Table, TimePoint Now);
+std::vector<MemberStatus> reportHosts(const MemberTable &Table, TimePoint Now);
 
 } // namespace comfreyrill
--- a/Services/Daemon/AdminApi.cpp
+++ b/Services/Daemon/AdminApi.cpp
@@ -2,8 +2,6 @@
 
 #include "Version.h"
 
-#include <LibCore/Hash.h>
-
 #include <boost/json.hpp>
 
 namespace comfreyrill {
@@ -16,7 +14,7 @@
                              std::string_view State) {
   boost::json::object Object;
   Object["host"] = Description.Host.Value;
-  Object["incarnation"] = hexadecimal(Description.Incarnation.Value);
+  Object["incarnation"] = Description.Incarnation.Value;
   Object["failure_domain"] = Description.Domain.Value;
   Object["state"] = State;
   Object["manifest_number"] = Description.Manifest.Value;
@@ -35,9 +33,7 @@
   Object["in_flight"] = Target.InFlight;
   if (Target.HasReport)
     Object["reported_in_flight"] =
-        Target.OthersAtReport + static_cast<double>(Target.InFlight);
-  else
-    Object["reported_in_flight"] = nullptr;
+        static_cast<std::uint32_t>(Target.OthersAtReport) + Target.InFlight;
   Object["draining"] = Target.Draining;
   Object["ejected"] = Target.Outlier.Ejected;
   return Object;
--- a/Services/Daemon/CallService.cpp
+++ b/Services/Daemon/CallService.cpp
@@ -58,7 +58,7 @@
 CallService::CallService(const ExecutionContext &Environment, KeyedCalls &Keys,
                          QuarantineService &Quarantine, std::string IdPrefix)
     : Environment(Environment), Keys(Keys), Quarantine(Quarantine),
-      IdPrefix(std::move(IdPrefix)) {}
+      Probes(Environment), IdPrefix(std::move(IdPrefix)) {}
 
 RequestId CallService::nextId() {
   return RequestId(IdPrefix + std::to_string(++IdCount));
@@ -111,9 +111,11 @@
     Result = co_await runKeyed(std::move(Call), std::move(Request), Id, Runtime,
                                Begin + Timeout);
   }
-  if (Runtime)
+  if (Runtime) {
     Environment.Figures.countCall(Name, Result.Kind,
                                   Environment.TimeSource.now() - Begin);
+    Probes.probeIfDue(Runtime);
+  }
   co_return Result;
 }
 
--- a/Services/Daemon/CallService.h
+++ b/Services/Daemon/CallService.h
@@ -2,6 +2,7 @@
 
 #include "CallExecution.h"
 #include "KeyedCalls.h"
+#include "Prober.h"
 #include "QuarantineService.h"
 
 #include <LibHttp/HttpServer.h>
@@ -38,6 +39,7 @@
   ExecutionContext Environment;
   KeyedCalls &Keys;
   QuarantineService &Quarantine;
+  Prober Probes;
   std::string IdPrefix;
   std::uint64_t IdCount = 0;
   std::size_t Active = 0;
--- a/Services/Daemon/HostDaemon.cpp
+++ b/Services/Daemon/HostDaemon.cpp
@@ -283,6 +283,12 @@
   const auto &Peers =
       Kernel.find<PeerServer>("peer_listener").value()->traffic();
   const auto &Callers = *Kernel.find<HttpServer>("caller_listener").value();
+  const auto &Calls =
+      Kernel.find<PlatformService>("platform").value()->counts();
+  Figures.counter("platform_reads_total") = Calls.Reads;
+  Figures.counter("platform_updates_total") = Calls.Updates;
+  Figures.counter("platform_watches_total") = Calls.Watches;
+  Figures.counter("platform_failures_total") = Calls.Failures;
   Figures.counter("manifest_number") = Members.Self.Manifest.Value;
   Figures.counter("peers") = Members.Peers.size();
   Figures.counter("peer_bytes_sent_total") = Mesh.BytesSent + Peers.BytesSent;
--- a/Services/Daemon/PeerService.cpp
+++ b/Services/Daemon/PeerService.cpp
@@ -1,8 +1,7 @@
 #include "PeerService.h"
 
-#include "PeerConversion.h"
-
 #include <LibMembership/Observe.h>
+#include <LibPeer/HeartbeatConversion.h>
 
 namespace comfreyrill {
 
--- a/Services/Daemon/PlatformService.cpp
+++ b/Services/Daemon/PlatformService.cpp
@@ -10,9 +10,12 @@
 
 namespace {
 
+constexpr Duration CallTime = std::chrono::seconds(2);
 constexpr Duration WatchTime = std::chrono::seconds(30);
 // A host learns within this time that it has become a watcher.
 constexpr Duration RoleCheckInterval = std::chrono::milliseconds(250);
+// An object that is created is noticed within this time.
+constexpr Duration MissingObjectInterval = std::chrono::seconds(1);
 constexpr Duration ReportInterval = std::chrono::seconds(2);
 constexpr Duration FirstRetryDelay = std::chrono::milliseconds(200);
 constexpr Duration HostsMaintenanceInterval = std::chrono::seconds(30);
@@ -21,7 +24,13 @@
 constexpr const char HostsKey[] = "hosts";
 constexpr const char ReportKey[] = "report";
 
-std::string_view livenessName(const HostStatus &Status) {
+PlatformSettings platformSettings(std::vector<Endpoint> Endpoints) {
+  PlatformSettings Out;
+  Out.Endpoints = std::move(Endpoints);
+  return Out;
+}
+
+std::string_view livenessName(const MemberStatus &Status) {
   switch (Status.State) {
   case Liveness::Alive:
     return hostStateName(Status.Description.State);
@@ -41,7 +50,9 @@
                                  MemberTable &Members,
                                  ManifestKeeper &Documents,
                                  std::function<void()> Announce)
-    : Environment(Environment), Objects(Environment, std::move(Endpoints)),
+    : Environment(Environment),
+      Objects(Environment.Context, Environment.TimeSource,
+              platformSettings(std::move(Endpoints)), systemRandom()),
       Members(Members), Documents(Documents), Announce(std::move(Announce)) {}
 
 void PlatformService::start() {
@@ -68,6 +79,10 @@
   co_await Wait.async_wait(UseTuple);
 }
 
+TimePoint PlatformService::callDeadline() const {
+  return Environment.TimeSource.now() + CallTime;
+}
+
 void PlatformService::noteReached(bool IsReached) {
   if (announcePlatform(Members, IsReached, Environment.TimeSource.now())) {
     LogLine Line("platform");
@@ -77,11 +92,11 @@
   }
 }
 
-void PlatformService::offer(Document Followed, const PlatformObject &Object) {
-  const auto Offered =
-      Followed == Document::Manifest
-          ? Documents.offerManifest(Object.Value, "platform")
-          : Documents.offerFleet(Object.Version, Object.Value, "platform");
+void PlatformService::offer(Document Followed, const StoredObject &Object) {
+  const auto Offered = Followed == Document::Manifest
+                           ? Documents.offerManifest(Object.Value, "platform")
+                           : Documents.offerFleet(Object.Version.Value,
+                                                  Object.Value, "platform");
   if (!Offered) {
     LogLine Line("document_refused");
     Line.field("name", Followed == Document::Manifest ? "manifest" : "fleet")
@@ -107,7 +122,7 @@
   while (true) {
     const TimePoint Now = Environment.TimeSource.now();
     const PlatformPlan Plan = platformPlan(Members, Now);
-    const bool IsWatch = Plan.IsWatcher && Version.has_value();
+    const bool IsWatch = Plan.IsWatcher && Version.Value > 0;
     if (!Plan.IsWatcher && Now < NextRead) {
       co_await pause(std::min(RoleCheckInterval, NextRead - Now));
       continue;
@@ -117,8 +132,8 @@
     if (Members.Self.ReachesPlatform) {
       RetryDelay = FirstRetryDelay;
       // An object that does not exist cannot be waited for.
-      if (!Version)
-        co_await pause(RoleCheckInterval);
+      if (Version.Value == 0)
+        co_await pause(MissingObjectInterval);
       continue;
     }
     RetryDelay = std::min(RetryDelay * 2, ReportInterval);
@@ -129,13 +144,17 @@
 Awaitable<void> PlatformService::refresh(Document Followed,
                                          ObjectVersion &Version, bool IsWatch) {
   const std::string Key = Followed == Document::Manifest ? "manifest" : "fleet";
-  Result<std::optional<PlatformObject>> Received =
-      Error{ErrorKind::Internal, ""};
-  if (IsWatch)
+  Result<std::optional<StoredObject>> Received = std::nullopt;
+  if (IsWatch) {
     Received = co_await Objects.watch(Key, Version, WatchTime);
-  else
-    Received = co_await Objects.read(Key);
-  noteReached(Received.has_value());
+  } else {
+    auto Read = co_await Objects.read(Key, callDeadline());
+    if (Read)
+      Received = std::move(Read.value());
+    else
+      Received = std::move(Read.error());
+  }
+  noteReached(Received || Received.error().Kind == ErrorKind::NotFound);
   if (!Received || !Received.value())
     co_return;
   Version = Received.value()->Version;
@@ -168,24 +187,24 @@
 Awaitable<bool>
 PlatformService::updateHosts(std::function<bool(HostsObject &)> Change) {
   for (std::size_t Try = 0; Try < UpdateTries; ++Try) {
-    const auto Received = co_await Objects.read(HostsKey);
-    if (!Received)
+    const auto Received = co_await Objects.read(HostsKey, callDeadline());
+    if (!Received && Received.error().Kind != ErrorKind::NotFound)
       co_return false;
     HostsObject Object;
     ObjectVersion Version;
-    if (Received.value()) {
-      Version = Received.value()->Version;
-      auto Parsed = parseHosts(Received.value()->Value);
+    if (Received) {
+      Version = Received.value().Version;
       // An object that cannot be read is written anew; each host then adds
       // itself again.
+      auto Parsed = parseHosts(Received.value().Value);
       if (Parsed)
         Object = std::move(Parsed.value());
     }
     if (!Change(Object))
       co_return true;
-    const auto Written =
-        co_await Objects.update(HostsKey, Version, formatHosts(Object));
-    if (Written)
+    const auto Written = co_await Objects.update(HostsKey, formatHosts(Object),
+                                                 Version, callDeadline());
+    if (Written.Outcome == UpdateOutcome::Stored)
       co_return true;
     // After a lost answer the next read shows whether the change took effect.
     co_await pause(registrationDelay(Try, Environment.Generator));
@@ -205,25 +224,30 @@
 
 Awaitable<void> PlatformService::writeReport() {
   HostReport Report;
-  for (const HostStatus &Status :
-       reportHosts(Members, Environment.TimeSource.now()))
+  for (const MemberStatus &Status :
+       reportHosts(Members, Environment.TimeSource.now())) {
+    // The object `hosts` names only the peer address; the others come with the
+    // first heartbeat.
+    if (Status.Description.AdminAddress.Port == 0)
+      continue;
     Report.Hosts.push_back(
         {Status.Description.Host, Status.Description.Incarnation,
          std::string(livenessName(Status)), Status.Description.Manifest,
          Status.Description.AdminAddress});
+  }
   const std::string Text = formatHostReport(Report);
   if (Text == LastReport)
     co_return;
   if (LastReport.empty()) {
-    const auto Received = co_await Objects.read(ReportKey);
-    if (!Received)
+    const auto Received = co_await Objects.read(ReportKey, callDeadline());
+    if (!Received && Received.error().Kind != ErrorKind::NotFound)
       co_return;
-    ReportVersion = Received.value() ? ObjectVersion(Received.value()->Version)
-                                     : std::nullopt;
+    ReportVersion = Received ? Received.value().Version : ObjectVersion{};
   }
-  const auto Written = co_await Objects.update(ReportKey, ReportVersion, Text);
-  if (Written) {
-    ReportVersion = Written.value();
+  const auto Written =
+      co_await Objects.update(ReportKey, Text, ReportVersion, callDeadline());
+  if (Written.Outcome == UpdateOutcome::Stored) {
+    ReportVersion = Written.Version;
     LastReport = Text;
   } else {
     LastReport.clear();
--- a/Services/Daemon/PlatformService.h
+++ b/Services/Daemon/PlatformService.h
@@ -2,11 +2,11 @@
 
 #include "CallExecution.h"
 #include "ManifestKeeper.h"
-#include "PlatformObjects.h"
 
 #include <LibMembership/HostsObject.h>
 #include <LibMembership/MemberTable.h>
 #include <LibMembership/Roles.h>
+#include <LibPlatform/PlatformClient.h>
 
 #include <functional>
 #include <vector>
@@ -22,6 +22,7 @@
                   ManifestKeeper &Documents, std::function<void()> Announce);
 
   void start();
+  const PlatformCallCounts &counts() const { return Objects.counts(); }
   /// Takes this host out of the list of hosts; gives up after a short time.
   Awaitable<void> unregister();
 
@@ -38,12 +39,13 @@
   /// Changes the object `hosts` until the change has taken effect or is not
   /// needed, at most a few times.
   Awaitable<bool> updateHosts(std::function<bool(HostsObject &)> Change);
-  void offer(Document Followed, const PlatformObject &Object);
+  void offer(Document Followed, const StoredObject &Object);
+  TimePoint callDeadline() const;
   void noteReached(bool IsReached);
   Awaitable<void> pause(Duration Length);
 
   ExecutionContext Environment;
-  PlatformObjects Objects;
+  PlatformClient Objects;
   MemberTable &Members;
   ManifestKeeper &Documents;
   std::function<void()> Announce;
--- a/Tests/Daemon/TestCallRequest.cpp
+++ b/Tests/Daemon/TestCallRequest.cpp
@@ -1,5 +1,6 @@
 #include <Daemon/CallRequest.h>
 #include <Daemon/HeaderNames.h>
+#include <Daemon/Prober.h>
 #include <Daemon/TargetExchange.h>
 
 #include <gtest/gtest.h>
@@ -88,6 +89,16 @@
     EXPECT_FALSE(parseLoadReport(Text).has_value()) << Text;
 }
 
+// Guards against a probe answer that is taken for an idle target although it
+// states no load.
+TEST(LoadReport, RefusesAnswersWithoutLoad) {
+  EXPECT_EQ(
+      parseLoadAnswer(R"({"in_flight":2,"draining":true})").value().InFlight,
+      2U);
+  for (const char *Text : {"", "{}", R"({"in_flight":-1})", "[1]", "null"})
+    EXPECT_FALSE(parseLoadAnswer(Text).has_value()) << Text;
+}
+
 RC_GTEST_PROP(LoadReport, SurvivesRandomText, (const std::string &Text)) {
   (void)parseLoadReport(Text);
 }
