--- a/Tests/LibRouting/Fixture.h
+++ b/Tests/LibRouting/Fixture.h
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace comfreyrill {
@@ -30,10 +31,11 @@
   }
 
   Choice choose(std::vector<TargetIndex> Tried = {}) {
-    return chooseTarget(
-        State,
-        {FailureDomain("a"), Time.now() + std::chrono::seconds(5), Tried},
-        Time.now(), Generator);
+    return chooseTarget(State,
+                        {FailureDomain("a"),
+                         Time.now() + std::chrono::seconds(5),
+                         std::move(Tried)},
+                        Time.now(), Generator);
   }
 
   void report(TargetIndex Target, std::uint32_t InFlight,
--- a/Tests/LibRouting/TestProbe.cpp
+++ b/Tests/LibRouting/TestProbe.cpp
@@ -80,13 +80,13 @@
     Random Generator(*rc::gen::arbitrary<std::uint64_t>());
     TimePoint Now{std::chrono::hours(1)};
     const TimePoint Start = Now;
-    const auto fresh = [&] {
+    const auto Fresh = [&] {
       FleetHost Host;
       setHostsMaximum(Host.State, HostsMaximum);
       updateTargets(Host.State, Config, Now);
       return Host;
     };
-    std::vector<FleetHost> Hosts(1, fresh());
+    std::vector<FleetHost> Hosts(1, Fresh());
     double Calls = 0;
     double Probes = 0;
     for (int Step = 0; Step < 3000; ++Step) {
@@ -94,7 +94,7 @@
       const std::size_t Index = randomIndex(Generator, Hosts.size());
       switch (randomIndex(Generator, 200)) {
       case 0:
-        Hosts[Index] = fresh();
+        Hosts[Index] = Fresh();
         break;
       case 1:
         Hosts[Index].PausedUntil =
@@ -102,7 +102,7 @@
         break;
       case 2:
         if (Hosts.size() < HostsMaximum)
-          Hosts.push_back(fresh());
+          Hosts.push_back(Fresh());
         break;
       case 3:
         if (Hosts.size() > 1)
