LibRouting: Test that restarts and pauses save up no probes

Cause: with the interval at the start or after a pause taken out, all tests still passed.

Change: two tests for exactly these cases, and the fleet test draws smaller rates.

--- a/Tests/LibRouting/TestProbe.cpp
+++ b/Tests/LibRouting/TestProbe.cpp
@@ -40,6 +40,29 @@
     EXPECT_FALSE(call(std::chrono::seconds(1)));
 }
 
+// Guards against hosts that are replaced again and again and each begin with a
+// probe.
+TEST_F(ProbeTest, NewProcessStartsWithNothing) {
+  Config.Measuring.ProbesPerHundredCalls = 100;
+  configure(4);
+  // 20 hosts share 50 probes per second, so the interval is 400 ms.
+  for (int Call = 0; Call < 390; ++Call)
+    EXPECT_FALSE(call(std::chrono::milliseconds(1)));
+}
+
+// Guards against a host that resumes and makes up for the probes it missed.
+TEST_F(ProbeTest, PauseSavesNoProbes) {
+  Config.Measuring.ProbesPerHundredCalls = 100;
+  configure(4);
+  for (int Call = 0; Call < 2000; ++Call)
+    call(std::chrono::milliseconds(1));
+  Time.advance(std::chrono::minutes(1));
+  int Probes = 0;
+  for (int Call = 0; Call < 390; ++Call)
+    Probes += call(std::chrono::milliseconds(1)).has_value();
+  EXPECT_EQ(Probes, 1);
+}
+
 // Guards against draining targets whose return nobody notices.
 TEST_F(ProbeTest, DrainingTargetIsProbedFirst) {
   configure(8);
@@ -74,8 +97,8 @@
   rc::check([] {
     const auto HostsMaximum = *rc::gen::inRange<std::uint32_t>(1, 20);
     ServiceConfig Config;
-    Config.Measuring.ProbesPerSecond = *rc::gen::inRange(1, 200);
-    Config.Measuring.ProbesPerHundredCalls = *rc::gen::inRange(1, 50);
+    Config.Measuring.ProbesPerSecond = *rc::gen::inRange(1, 20);
+    Config.Measuring.ProbesPerHundredCalls = *rc::gen::inRange(1, 100);
     Config.Targets.resize(3);
     Random Generator(*rc::gen::arbitrary<std::uint64_t>());
     TimePoint Now{std::chrono::hours(1)};
