--- a/Tests/LibQuarantine/TestQuarantine.cpp
+++ b/Tests/LibQuarantine/TestQuarantine.cpp
@@ -105,6 +105,19 @@
   EXPECT_FALSE(runs());
 }
 
+// Guards against old evidence that newer evidence of another target keeps
+// alive.
+TEST_F(Quarantine, EachPieceOfEvidenceExpiresByItself) {
+  crash(1);
+  Time.advance(minutes(9));
+  crash(2, 1000);
+  Time.advance(seconds(1));
+  EXPECT_EQ(crash(2), CrashResult::Counted);
+  Time.advance(minutes(2));
+  EXPECT_EQ(crash(3), CrashResult::Counted);
+  EXPECT_TRUE(runs());
+}
+
 // Guards against a request that is overlooked because others were under way on
 // the target that it broke.
 TEST_F(Quarantine, AllRequestsOfOneCrashCount) {
@@ -150,7 +163,8 @@
       400, rc::gen::arbitrary<std::uint32_t>());
   for (std::uint32_t Event : Events) {
     std::uint64_t Fingerprint = Event % 20;
-    Time.advance(milliseconds((Event >> 8) % 30'000));
+    Time.advance(
+        milliseconds((Event >> 8) % ((Event >> 30) == 0 ? 30'000 : 3'000)));
     if ((Event >> 24) % 4 == 0) {
       recordAnswer(State, Fingerprint);
       RC_ASSERT(mayRun(State, Fingerprint, Time.now()));
