LibMembership: Forget a silent process under the same id soon

A host that is replaced on another machine hears its old process mentioned and contacted that address at the heartbeat interval for 4 hours. It is now tried every 5 s and forgotten after 60 s; the test fails with the earlier rule, which sends a message each 250 ms.

--- a/Libraries/LibMembership/Heartbeats.cpp
+++ b/Libraries/LibMembership/Heartbeats.cpp
@@ -133,7 +133,9 @@
     if (const Peer *Successor = findPeer(Table, Process.Host))
       Due.push_back({Process.Remote, {Table.Self, {Successor->Description}}});
   if (IsRivalDue) {
-    Table.Rival->NextHeartbeat = Now + Interval;
+    Table.Rival->NextHeartbeat =
+        Now + (isHeard(Table, *Table.Rival, Now) ? Interval
+                                                 : Settings.LostProbeInterval);
     Due.push_back({Table.Rival->Description.PeerAddress, {Table.Self, {}}});
   }
   if (AreSeedsDue) {
--- a/Libraries/LibMembership/MemberTable.cpp
+++ b/Libraries/LibMembership/MemberTable.cpp
@@ -149,7 +149,10 @@
   std::erase_if(Table.Peers, [&](const Peer &Other) {
     return isForgotten(Table, Other, Now);
   });
-  if (Table.Rival && isForgotten(Table, *Table.Rival, Now))
+  // Mostly an earlier process of this host that others still remember.
+  if (Table.Rival &&
+      Now - Table.Rival->LastHeard.value_or(Table.Rival->KnownSince) >
+          Table.Settings.ForgetLeftAfter)
     Table.Rival.reset();
 }
 
--- a/Libraries/LibMembership/MemberTable.h
+++ b/Libraries/LibMembership/MemberTable.h
@@ -65,8 +65,8 @@
   TimePoint NextComplete;
   /// Since when the host has announced an older manifest than this host's.
   std::optional<TimePoint> BehindSince;
-  /// The fleet list calls the machine leaving; holds for one incarnation only,
-  /// because the list lags behind a restart.
+  /// The fleet list calls the machine leaving. It lags, for example behind a
+  /// restart, so this only lowers the preference.
   bool FleetLeaving = false;
   /// The next heartbeat to it carries all hosts that this host hears.
   bool NeedsFullList = true;
--- a/Tests/LibMembership/TestObserve.cpp
+++ b/Tests/LibMembership/TestObserve.cpp
@@ -93,6 +93,24 @@
             HeartbeatVerdict::Incomplete);
 }
 
+// Guards against endless messages to the machine on which this host ran before
+// it was replaced, when others still mention its old process.
+TEST(Observe, SilentRivalIsSoonForgotten) {
+  auto Table = anyTable();
+  auto Old = describe(0, 9, 0);
+  Old.PeerAddress.Port = 7109;
+  observeHearsay(Table, Old, Now);
+  Random Generator(1);
+  std::size_t Sent = 0;
+  for (TimePoint Time = Now; Time < Now + 3min; Time += 50ms) {
+    advance(Table, Time);
+    Sent += dueHeartbeats(Table, Time, Generator).size();
+  }
+  EXPECT_GE(Sent, 2U);
+  EXPECT_LE(Sent, 14U);
+  EXPECT_FALSE(Table.Rival.has_value());
+}
+
 // Guards against heartbeats and tables that grow without bound.
 TEST(Observe, TableAndHeartbeatsAreBounded) {
   auto Table = anyTable();
