StandIns: Let a target ignore deadlines and let operators race

A target that stops a run at its deadline answers 504 just before the host gives up, so that an unknown outcome at the deadline could not be shown; the new setting respects_deadline=false works on. The history of an envelope is written oldest first, as the parser demands.

--- a/Meta/run.sh
+++ b/Meta/run.sh
@@ -17,14 +17,14 @@
 # Sends one request, prints what came back and the decisions with its request
 # id, and compares status and outcome.
 call() { # TITLE STATUS OUTCOME HOST-NUMBER PATH CURL-ARGUMENT...
-  local Title=$1 Status=$2 Outcome=$3 Variable=CALLER_$4 Path=$5 Got Verdict Id Index
+  local Title=$1 Status=$2 Outcome=$3 Number=$4 Variable=CALLER_$4 Path=$5 Got Verdict Id Index
   shift 5
   echo "== $Title"
   Got=$(curl -sS -m 10 -o "$WORK/body" -D "$WORK/head" -w '%{http_code}' "$@" "http://${!Variable}$Path" || echo 000)
   sed -i 's/\r$//' "$WORK/head"
   Verdict=$(sed -n 's/^Comfreyrill-Outcome: //p' "$WORK/head")
   Id=$(sed -n 's/^Comfreyrill-Request-Id: //p' "$WORK/head")
-  echo "   h$4 $Path -> $Got, outcome ${Verdict:-none}, $(grep -E '^Comfreyrill-(Target|Reason)' "$WORK/head" | tr '\n' ' ')"
+  echo "   h$Number $Path -> $Got, outcome ${Verdict:-none}, $(grep -E '^Comfreyrill-(Target|Reason)' "$WORK/head" | tr '\n' ' ')"
   echo "   body: $(head -c 300 "$WORK/body" | tr '\n' ' ')"
   for Index in 1 2 3; do
     [ -z "$Id" ] || grep -hF "request=$Id " "$WORK/h$Index.out" | sed "s/^/   h$Index: /" || true
@@ -60,9 +60,9 @@
 call "checkout without a key: refused" 400 not-run 1 "/v1/call/stock/checkout?token=checkout-2" -X POST -d one
 call "unknown service" 404 not-run 1 "/v1/call/unheard/lookup"
 call "nested too deep" 400 not-run 1 "/v1/call/stock/lookup?token=deep" -H "Comfreyrill-Depth: 10"
-curl -sS -f -X POST -d '{"service_time":"fixed","mean_ms":400}' "http://$TARGET_CONTROL/control/behaviour" >/dev/null
+curl -sS -f -X POST -d '{"service_time":"fixed","mean_ms":400,"respects_deadline":false}' "http://$TARGET_CONTROL/control/behaviour" >/dev/null
 call "deadline passes while the checkout runs: unknown" 504 unknown 3 "/v1/call/stock/checkout?token=checkout-3" -X POST -H "Idempotency-Key: $(new_key 3)" -H "Comfreyrill-Timeout-Ms: 100" -d one
-curl -sS -f -X POST -d '{"mean_ms":2}' "http://$TARGET_CONTROL/control/behaviour" >/dev/null
+curl -sS -f -X POST -d '{"mean_ms":2,"respects_deadline":true}' "http://$TARGET_CONTROL/control/behaviour" >/dev/null
 call "request that crashes its target: unknown" 504 unknown 2 "/v1/call/stock/checkout?token=crash-1&crash=1" -X POST -H "Idempotency-Key: $(new_key 2)" -d one
 call "the same request again crashes a second target" 504 unknown 3 "/v1/call/stock/checkout?token=crash-1&crash=1" -X POST -H "Idempotency-Key: $(new_key 3)" -d one
 call "the third time it is in quarantine" 503 not-run 1 "/v1/call/stock/checkout?token=crash-1&crash=1" -X POST -H "Idempotency-Key: $(new_key 1)" -d one
--- a/Tests/Chaos/Observation.cpp
+++ b/Tests/Chaos/Observation.cpp
@@ -26,12 +26,12 @@
 boost::json::object nextEnvelope(const boost::json::object &Old,
                                  const std::string &ApplyId,
                                  boost::json::object Manifest) {
+  // The oldest comes first; numbers rise.
   boost::json::array History = Old.at("history").as_array();
-  History.insert(History.begin(),
-                 boost::json::object{{"apply_id", Old.at("apply_id")},
-                                     {"number", Old.at("number")}});
+  History.push_back(boost::json::object{{"apply_id", Old.at("apply_id")},
+                                        {"number", Old.at("number")}});
   if (History.size() > HistoryLength)
-    History.resize(HistoryLength);
+    History.erase(History.begin());
   return {{"number", Old.at("number").to_number<std::uint64_t>() + 1},
           {"apply_id", ApplyId},
           {"history", std::move(History)},
@@ -93,6 +93,9 @@
     }
     const auto QueueLength =
         static_cast<std::uint32_t>(uniform(Current, 32, 128));
+    // The time that a change takes an operator lets others come first.
+    co_await pause(Current,
+                   std::chrono::milliseconds(uniform(Current, 0, 150)));
     const boost::json::object New = nextEnvelope(
         Old.value(), ApplyId, Processes.manifest(LeftOut, QueueLength));
     const auto Number = New.at("number").to_number<std::uint64_t>();
--- a/Tests/StandIns/Target.cpp
+++ b/Tests/StandIns/Target.cpp
@@ -107,8 +107,9 @@
 Target::runRequest(HttpRequest Request, RequestTarget Parts,
                    std::shared_ptr<Disconnect> CallerLeft) {
   TimePoint Deadline = TimePoint::max();
-  if (const auto Left =
-          parseNumber(std::string(Request["Comfreyrill-Deadline-Ms"])))
+  const auto Left =
+      parseNumber(std::string(Request["Comfreyrill-Deadline-Ms"]));
+  if (Left && Behaviour.RespectsDeadline)
     Deadline = TimeSource.now() + std::chrono::milliseconds(Left.value());
   if (InFlight >= Behaviour.Slots && Waiting.size() >= Behaviour.Queue)
     co_return withLoad(shedResponse("the queue is full; try another target"));
--- a/Tests/StandIns/TargetBehaviour.h
+++ b/Tests/StandIns/TargetBehaviour.h
@@ -32,6 +32,8 @@
   /// Share of the requests that are answered 500 at once.
   double FailureShare = 0;
   bool Draining = false;
+  /// Stops a run at the deadline that came with it; false works on.
+  bool RespectsDeadline = true;
   /// What a request marked crash=1 takes down, and for how long.
   CrashScope Crash = CrashScope::Target;
   Duration DownTime = std::chrono::milliseconds(500);
--- a/Tests/StandIns/TestTarget.cpp
+++ b/Tests/StandIns/TestTarget.cpp
@@ -12,6 +12,7 @@
   SystemClock TimeSource;
   RunBook Book;
   std::shared_ptr<Target> Server;
+  std::string DeadlineMs;
 
   struct Pending {
     std::shared_ptr<Disconnect> CallerLeft = std::make_shared<Disconnect>();
@@ -38,6 +39,8 @@
     HttpRequest Request(http::verb::post, Path, 11);
     Request.set("Idempotency-Key", Key);
     Request.set("Comfreyrill-Request-Id", "r-" + Key);
+    if (!DeadlineMs.empty())
+      Request.set("Comfreyrill-Deadline-Ms", DeadlineMs);
     auto Call = std::make_shared<Pending>();
     asio::co_spawn(Context,
                    Server->handle(std::move(Request), Call->CallerLeft),
@@ -119,6 +122,22 @@
   EXPECT_EQ(Server->inFlight(), 0U);
 }
 
+// Guards against a target that runs on when nobody waits, or that stops
+// although it was told to ignore the deadline.
+TEST_F(TargetTest, DeadlineOfZeroStopsTheRunIfRespected) {
+  start(Forever, 2, 0);
+  DeadlineMs = "0";
+  const auto Stopped = send("/checkout?token=a", "k1");
+  ASSERT_TRUE(Stopped->Response);
+  ASSERT_EQ(Book.runs().size(), 1U);
+  EXPECT_EQ(Book.runs()[0].End, RunEnd::DeadlinePassed);
+  Server->behaviour().RespectsDeadline = false;
+  const auto Running = send("/checkout?token=b", "k2");
+  EXPECT_FALSE(Running->Response);
+  Running->CallerLeft->notify();
+  poll();
+}
+
 // Guards against reports that are always true, with which no check of a lying
 // target would check anything.
 TEST_F(TargetTest, LyingTargetReportsNoLoad) {
