Meta: End hosts at once and allow enough connections in the scripts

A manifest whose max_connections lie below the slots is refused, so that the host of bench_path.sh never became ready. Two SIGTERM sent together count once, so that a host drained for 35 s after the script had ended.

--- a/Meta/processes.sh
+++ b/Meta/processes.sh
@@ -8,6 +8,8 @@
 end_processes() {
   local Pid
   for Pid in "${PIDS[@]}"; do kill "$Pid" 2>/dev/null || true; done
+  # Signals that arrive together count once, so that the second has to wait.
+  [ ${#PIDS[@]} -eq 0 ] || sleep 0.2
   for Pid in "${PIDS[@]}"; do
     # A draining host serves on for its address lifetime; the second signal
     # ends it at once.
@@ -69,8 +71,8 @@
   local Separator="" Index=0 Id Address Domains=(a b c)
   printf '{"hosts_maximum":6,"address_lifetime_ms":%s,"services":[{"name":"stock","operations":[{"method":"POST","path_prefix":"/checkout","idempotent":false}],"targets":[' "$2"
   while read -r Id Address; do
-    printf '%s{"id":"%s","address":"%s","failure_domain":"%s","slots":%s}' \
-      "$Separator" "$Id" "$Address" "${Domains[Index++ % 3]}" "$1"
+    printf '%s{"id":"%s","address":"%s","failure_domain":"%s","slots":%s,"max_connections":%s}' \
+      "$Separator" "$Id" "$Address" "${Domains[Index++ % 3]}" "$1" $(($1 * 6 + 200))
     Separator=,
   done <<<"$TARGETS"
   printf ']}]}\n'
