LibRouting: Predict the wait from the calls in flight

Cause: the wait was predicted from the time between answers, which on a quiet host tells how rarely calls come: after a quiet hour the first call that had to wait was refused as too late.

Change: a queue moves on by InFlight calls per answer time. expireQueue takes out the calls that are to be refused.

Without the division by the calls in flight, or without the predicted wait, QueueTest.DeadlineIsInView fails.

--- a/Libraries/LibRouting/Queue.cpp
+++ b/Libraries/LibRouting/Queue.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-constexpr double FinishWeight = 1.0 / 32;
-
 // About 64 calls: at the smallest service a second of one host's traffic.
 constexpr double WaitShareWeight = 1.0 / 64;
 constexpr double OverloadWaitShare = 0.2;
@@ -31,31 +29,24 @@
   return Queue.WaitShare > OverloadWaitShare;
 }
 
-void countFinish(WaitQueue &Queue, TimePoint Now) {
-  if (Queue.HasFinish) {
-    const double Seconds =
-        std::chrono::duration<double>(Now - Queue.LastFinish).count();
-    Queue.FinishIntervalSeconds +=
-        FinishWeight * (Seconds - Queue.FinishIntervalSeconds);
-  }
-  Queue.HasFinish = true;
-  Queue.LastFinish = Now;
-}
-
-Duration expectedWait(const WaitQueue &Queue) {
-  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
-      Queue.FinishIntervalSeconds * (Queue.Calls.size() + 1)));
+// Calls leave at the rate InFlight / AnswerTime. The time between past answers
+// would not do: on a quiet host it tells how rarely calls come.
+Duration expectedWait(const WaitQueue &Queue, std::uint32_t InFlight,
+                      Duration AnswerTime) {
+  return AnswerTime * (Queue.Calls.size() + 1) / std::max(InFlight, 1U);
 }
 
 Admission joinQueue(WaitQueue &Queue, const WaitingCall &Call,
-                    std::uint32_t Length, Duration AnswerTime, TimePoint Now) {
+                    std::uint32_t Length, std::uint32_t InFlight,
+                    Duration AnswerTime, TimePoint Now) {
+  const Duration Wait = expectedWait(Queue, InFlight, AnswerTime);
   Queue.WaitShare += WaitShareWeight;
   if (Queue.Calls.size() >= Length)
     return Admission::QueueFull;
-  if (Now + expectedWait(Queue) + AnswerTime > Call.Deadline)
+  if (Now + Wait + AnswerTime > Call.Deadline)
     return Admission::DeadlineTooClose;
   if (isOverloaded(Queue) && !Queue.Calls.empty() &&
-      expectedWait(Queue) > overloadWait(AnswerTime))
+      Wait > overloadWait(AnswerTime))
     return Admission::Overloaded;
   Queue.Calls.push_back(Call);
   return Admission::Admitted;
--- a/Libraries/LibRouting/Queue.h
+++ b/Libraries/LibRouting/Queue.h
@@ -18,10 +18,6 @@
 /// Calls of one service that wait on one host, in order of arrival.
 struct WaitQueue {
   std::vector<WaitingCall> Calls;
-  /// Mean time between two calls that end on this host.
-  double FinishIntervalSeconds = 0;
-  TimePoint LastFinish;
-  bool HasFinish = false;
   /// Share of recent calls that had to wait.
   double WaitShare = 0;
 };
@@ -34,15 +30,15 @@
 /// True while many calls have to wait, which a burst does not bring about.
 bool isOverloaded(const WaitQueue &Queue);
 
-/// Counts the end of an attempt, from which the wait is predicted.
-void countFinish(WaitQueue &Queue, TimePoint Now);
-
-/// Time that a call which joins now is expected to wait.
-Duration expectedWait(const WaitQueue &Queue);
+/// Time that a call which joins now is expected to wait when InFlight calls of
+/// this host take AnswerTime each.
+Duration expectedWait(const WaitQueue &Queue, std::uint32_t InFlight,
+                      Duration AnswerTime);
 
 /// Joins the queue, or says why not. Refused calls were not run.
 Admission joinQueue(WaitQueue &Queue, const WaitingCall &Call,
-                    std::uint32_t Length, Duration AnswerTime, TimePoint Now);
+                    std::uint32_t Length, std::uint32_t InFlight,
+                    Duration AnswerTime, TimePoint Now);
 
 /// The first call in line, which stays there; none when nobody waits.
 std::optional<std::uint64_t> headOfQueue(const WaitQueue &Queue);
--- a/Libraries/LibRouting/Routing.cpp
+++ b/Libraries/LibRouting/Routing.cpp
@@ -67,6 +67,11 @@
   State.NextRecentReport = (State.NextRecentReport + 1) % RecentReportsMaximum;
 }
 
+Duration meanAnswerTime(const RoutingState &State) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(State.Answers.MeanSeconds));
+}
+
 void subtractPeer(RoutingState &State, const PeerState &Peer) {
   for (std::size_t Index = 0; Index < Peer.InFlight.size(); ++Index)
     State.Targets[Index].PeerInFlight -= Peer.InFlight[Index];
@@ -140,7 +145,6 @@
   const double Quantile = State.Config.Hedge.Quantile;
   switch (Result.End) {
   case AttemptEnd::Answered:
-    countFinish(State.Queue, Now);
     countSuccess(Target.Outlier);
     recordAnswerTime(Target.Speed, State.Answers, Result.Elapsed, Quantile);
     Target.Slowness = relativeSlowness(Target.Speed, State.Answers);
@@ -281,10 +285,13 @@
 
 Admission admitToQueue(RoutingState &State, std::uint64_t Ticket,
                        TimePoint Deadline, TimePoint Now) {
-  const auto Answer = std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(State.Answers.MeanSeconds));
   return joinQueue(State.Queue, {Ticket, Deadline, Now},
-                   State.Config.QueueLength, Answer, Now);
+                   State.Config.QueueLength, State.InFlight,
+                   meanAnswerTime(State), Now);
+}
+
+std::vector<std::uint64_t> expireQueue(RoutingState &State, TimePoint Now) {
+  return takeExpired(State.Queue, meanAnswerTime(State), Now);
 }
 
 } // namespace comfreyrill
--- a/Libraries/LibRouting/Routing.h
+++ b/Libraries/LibRouting/Routing.h
@@ -87,4 +87,10 @@
 Admission admitToQueue(RoutingState &State, std::uint64_t Ticket,
                        TimePoint Deadline, TimePoint Now);
 
+/// Takes out the waiting calls that are to be refused now: those too late for
+/// their deadline and, under overload, those that waited too long. Called every
+/// few milliseconds while calls wait; headOfQueue() and leaveQueue() serve the
+/// others.
+std::vector<std::uint64_t> expireQueue(RoutingState &State, TimePoint Now);
+
 } // namespace comfreyrill
--- a/Tests/LibRouting/TestQueue.cpp
+++ b/Tests/LibRouting/TestQueue.cpp
@@ -39,6 +39,19 @@
   EXPECT_EQ(join(2, std::chrono::milliseconds(250)), Admission::Admitted);
   EXPECT_EQ(join(3, std::chrono::milliseconds(250)),
             Admission::DeadlineTooClose);
+  // With four calls in flight one ends every 25 ms.
+  for (int Call = 0; Call < 4; ++Call)
+    recordStart(State, 0, Time.now());
+  EXPECT_EQ(join(4, std::chrono::milliseconds(250)), Admission::Admitted);
+}
+
+// Guards against refusing a call because the host was quiet before.
+TEST_F(QueueTest, QuietTimeDoesNotLengthenTheWait) {
+  configure(1);
+  finishEvery(std::chrono::milliseconds(20));
+  Time.advance(std::chrono::hours(1));
+  attempt(0, AttemptEnd::Answered);
+  EXPECT_EQ(join(1, std::chrono::seconds(1)), Admission::Admitted);
 }
 
 // Guards against dispatching a call that cannot be answered in time any more.
@@ -68,7 +81,7 @@
     Last = join(Ticket);
   EXPECT_EQ(Last, Admission::Overloaded);
   Time.advance(std::chrono::milliseconds(20));
-  takeExpired(State.Queue, std::chrono::milliseconds(20), Time.now());
+  EXPECT_GE(expireQueue(State, Time.now()).size(), 5U);
   EXPECT_FALSE(headOfQueue(State.Queue));
 }
 
--- a/Tests/Replay/EngineHosts.cpp
+++ b/Tests/Replay/EngineHosts.cpp
@@ -228,9 +228,7 @@
 void Engine::tick(std::uint32_t Id) {
   SimulatedHost &Host = Hosts[Id];
   Host.TickPending = false;
-  const auto Answer = std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(Host.Routing.Answers.MeanSeconds));
-  for (const std::uint64_t Late : takeExpired(Host.Routing.Queue, Answer, Now))
+  for (const std::uint64_t Late : expireQueue(Host.Routing, Now))
     giveUp(static_cast<std::uint32_t>(Late), true);
   drainQueue(Id);
   if (headOfQueue(Host.Routing.Queue)) {
