LibRouting: Print the seed when a test fails

Cause: the seed was only recorded in the XML report.

Change: a trace message in the fixture names it; in the replay the name of the trace identifies the seed. The host-lost trace also asserts the budget.

--- a/Tests/LibRouting/Fixture.h
+++ b/Tests/LibRouting/Fixture.h
@@ -16,8 +16,6 @@
   static constexpr std::uint64_t Seed = 20261204;
   static constexpr int Draws = 1000;
 
-  void SetUp() override { RecordProperty("seed", std::to_string(Seed)); }
-
   void configure(std::size_t Count, std::uint32_t Slots = 6) {
     Config.Targets.clear();
     for (std::size_t Index = 0; Index < Count; ++Index) {
@@ -60,6 +58,8 @@
     return Count;
   }
 
+  ::testing::ScopedTrace SeedOnFailure{__FILE__, __LINE__,
+                                       "seed " + std::to_string(Seed)};
   ManualClock Time;
   Random Generator{Seed};
   ServiceConfig Config;
--- a/Tests/LibRouting/TestBudget.cpp
+++ b/Tests/LibRouting/TestBudget.cpp
@@ -5,10 +5,7 @@
 
 class BudgetTest : public RoutingTest {
 protected:
-  void SetUp() override {
-    RoutingTest::SetUp();
-    configure(2);
-  }
+  void SetUp() override { configure(2); }
   void calls(int Count) {
     for (int Call = 0; Call < Count; ++Call)
       recordCall(State, Time.now());
--- a/Tests/Replay/TestReplay.cpp
+++ b/Tests/Replay/TestReplay.cpp
@@ -15,10 +15,9 @@
 const PolicySpec Chosen{"chosen", Policy::Chosen, true, 1, Duration(0)};
 const PolicySpec Oracle{"oracle", Policy::Oracle, false, 1, Duration(0)};
 
+// The description holds the seed, so the name identifies the run.
 Trace load(const std::string &Name) {
-  Trace Input = loadTrace(std::string(TRACE_DIRECTORY) + "/" + Name + ".json");
-  ::testing::Test::RecordProperty("seed", std::to_string(Input.Seed));
-  return Input;
+  return loadTrace(std::string(TRACE_DIRECTORY) + "/" + Name + ".json");
 }
 
 double p99(const Trace &Input, const PolicySpec &Spec) {
@@ -93,6 +92,7 @@
   const Outcome Second = replayTrace(Input, Chosen);
   EXPECT_EQ(First.Times, Second.Times);
   EXPECT_EQ(First.Probes, Second.Probes);
+  EXPECT_EQ(First.BudgetOverruns, 0U);
 }
 
 } // namespace
