--- a/Tests/LibQuarantine/TestQuarantine.cpp
+++ b/Tests/LibQuarantine/TestQuarantine.cpp
@@ -164,7 +164,7 @@
   for (std::uint32_t Event : Events) {
     std::uint64_t Fingerprint = Event % 20;
     Time.advance(
-        milliseconds((Event >> 8) % ((Event >> 30) == 0 ? 30'000 : 3'000)));
+        milliseconds((Event >> 8) % ((Event >> 30) == 0 ? 30'000 : 500)));
     if ((Event >> 24) % 4 == 0) {
       recordAnswer(State, Fingerprint);
       RC_ASSERT(mayRun(State, Fingerprint, Time.now()));
