--- a/Tests/Chaos/ChaosMain.cpp
+++ b/Tests/Chaos/ChaosMain.cpp
@@ -25,8 +25,7 @@
   --seconds N        Time of calls [default: 60].
   --hosts N          Entry hosts, at least 4 [default: 4].
   --rate N           Calls a second of all callers [default: 400].
-  --inject double-run
-                     Trial of the check: repeats a run at its target.
+  --inject FAULT     Trial of the check: double-run repeats a run at its target.
 )";
 
 /// Calm at the end of the calls, in which hosts must agree on the manifest.
@@ -197,6 +196,10 @@
   Settings.Seconds = std::stod(Options["--seconds"].asString());
   Settings.Rate = std::stod(Options["--rate"].asString());
   const bool Inject = Options["--inject"].isString();
+  if (Inject && Options["--inject"].asString() != "double-run") {
+    std::cerr << "--inject knows double-run only\n";
+    return 2;
+  }
   std::filesystem::create_directories(Settings.Work);
   const auto Length = std::chrono::duration_cast<Duration>(
       std::chrono::duration<double>(Settings.Seconds));
