Daemon: Write incarnations as hex digits and watch absent objects

Incarnations above 2^53 were JSON numbers, of which readers in other languages lose the low digits; and an object that does not exist was read again and again (33 of 49 platform calls in 4 s with two hosts). Change: 16 hexadecimal digits in status, report and logs, read by one function; a watch from version 0 waits for an absent object. A peer that is heard but not connected is no witness.

--- a/Libraries/LibCore/Hash.cpp
+++ b/Libraries/LibCore/Hash.cpp
@@ -1,6 +1,7 @@
 #include <LibCore/Hash.h>
 
 #include <array>
+#include <charconv>
 #include <cstring>
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
@@ -51,4 +52,13 @@
   return Text;
 }
 
+std::optional<std::uint64_t> parseHexadecimal(std::string_view Text) {
+  std::uint64_t Value = 0;
+  const char *End = Text.data() + Text.size();
+  const auto [Position, Code] = std::from_chars(Text.data(), End, Value, 16);
+  if (Code != std::errc() || Position != End || hexadecimal(Value) != Text)
+    return std::nullopt;
+  return Value;
+}
+
 } // namespace comfreyrill
--- a/Libraries/LibCore/Hash.h
+++ b/Libraries/LibCore/Hash.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <initializer_list>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -17,4 +18,7 @@
 /// A number as 16 lower-case hexadecimal digits.
 std::string hexadecimal(std::uint64_t Value);
 
+/// Reads exactly what hexadecimal writes; nothing for any other text.
+std::optional<std::uint64_t> parseHexadecimal(std::string_view Text);
+
 } // namespace comfreyrill
--- a/Libraries/LibJson/JsonReader.cpp
+++ b/Libraries/LibJson/JsonReader.cpp
@@ -1,4 +1,6 @@
 #include <LibJson/JsonReader.h>
+
+#include <LibCore/Hash.h>
 #include <LibJson/JsonText.h>
 #include <LibJson/NearestName.h>
 
@@ -266,4 +268,14 @@
       {Path, Value ? describeValue(*Value) : "nothing", std::move(Allowed)});
 }
 
+bool JsonReader::hexadecimalNumber(std::uint64_t &Out) {
+  std::string Text;
+  return matchingText(Text, "16 hexadecimal digits",
+                      [&](std::string_view Digits) {
+                        const auto Parsed = parseHexadecimal(Digits);
+                        Out = Parsed.value_or(Out);
+                        return Parsed.has_value();
+                      });
+}
+
 } // namespace comfreyrill
--- a/Libraries/LibJson/JsonReader.h
+++ b/Libraries/LibJson/JsonReader.h
@@ -45,6 +45,9 @@
   template <typename Tag> bool identifier(Identifier<Tag> &Out) {
     return identifierText(Out.Value);
   }
+  /// 64-bit number as 16 hexadecimal digits, because JSON readers of other
+  /// languages lose the low digits of large numbers.
+  bool hexadecimalNumber(std::uint64_t &Out);
   /// Text that the function accepts; Allowed says in words what that is.
   bool matchingText(std::string &Out, const std::string &Allowed,
                     const std::function<bool(std::string_view Text)> &Accepts);
--- a/Libraries/LibManifest/HostReport.cpp
+++ b/Libraries/LibManifest/HostReport.cpp
@@ -1,5 +1,7 @@
 #include <LibManifest/HostReport.h>
 
+#include <LibCore/Hash.h>
+
 #include <LibJson/JsonReader.h>
 #include <LibManifest/PlatformLimits.h>
 
@@ -19,7 +21,7 @@
         HostReportEntry Entry;
         Element.required("host").identifier(Entry.Host);
         Element.required("incarnation")
-            .integer(Entry.Incarnation.Value, 0, NoLimit);
+            .hexadecimalNumber(Entry.Incarnation.Value);
         Element.required("state").string(Entry.State, 1, 32);
         Element.required("manifest_number")
             .integer(Entry.InForce.Value, 0, NoLimit);
@@ -35,7 +37,7 @@
   for (const HostReportEntry &Entry : Report.Hosts)
     Hosts.push_back(
         json::object{{"host", Entry.Host.Value},
-                     {"incarnation", Entry.Incarnation.Value},
+                     {"incarnation", hexadecimal(Entry.Incarnation.Value)},
                      {"state", Entry.State},
                      {"manifest_number", Entry.InForce.Value},
                      {"admin_address", formatEndpoint(Entry.AdminAddress)}});
--- a/Libraries/LibOnce/IdempotencyKey.cpp
+++ b/Libraries/LibOnce/IdempotencyKey.cpp
@@ -39,17 +39,11 @@
 
 // Only one spelling of a number is accepted, so that two texts never name the
 // same key.
-Result<std::uint64_t> parseHexadecimal(std::string_view Text) {
-  std::uint64_t Value = 0;
-  const char *End = Text.data() + Text.size();
-  auto Parsed = std::from_chars(Text.data(), End, Value, 16);
-  bool Canonical =
-      Text.size() == 16 && std::all_of(Text.begin(), Text.end(), [](char C) {
-        return (C >= '0' && C <= '9') || (C >= 'a' && C <= 'f');
-      });
-  if (!Canonical || Parsed.ec != std::errc() || Parsed.ptr != End)
+Result<std::uint64_t> readNumber(std::string_view Text) {
+  const auto Value = parseHexadecimal(Text);
+  if (!Value)
     return malformed("has a number that is not 16 lower-case hex digits");
-  return Value;
+  return *Value;
 }
 
 } // namespace
@@ -86,9 +80,9 @@
     return malformed("has no valid issuer");
   IdempotencyKey Key;
   Key.Issuer.Host = HostId(std::string(Fields[1]));
-  TRY(Key.Issuer.Incarnation.Value, parseHexadecimal(Fields[2]));
+  TRY(Key.Issuer.Incarnation.Value, readNumber(Fields[2]));
   std::uint64_t WitnessIncarnation = 0;
-  TRY(WitnessIncarnation, parseHexadecimal(Fields[4]));
+  TRY(WitnessIncarnation, readNumber(Fields[4]));
   if (!Fields[3].empty()) {
     if (!isHostNameOfKeys(Fields[3]))
       return malformed("has no valid witness");
@@ -97,11 +91,11 @@
   } else if (WitnessIncarnation != 0) {
     return malformed("has a witness without a name");
   }
-  TRY(Key.Sequence, parseHexadecimal(Fields[5]));
+  TRY(Key.Sequence, readNumber(Fields[5]));
   std::uint64_t Expiry = 0;
-  TRY(Expiry, parseHexadecimal(Fields[6]));
+  TRY(Expiry, readNumber(Fields[6]));
   Key.Expiry = TimePoint(Duration(static_cast<Duration::rep>(Expiry)));
-  TRY(Key.Tag, parseHexadecimal(Fields[7]));
+  TRY(Key.Tag, readNumber(Fields[7]));
   return Key;
 }
 
--- /dev/null
+++ b/Meta/bench.sh
@@ -0,0 +1,12 @@
+#!/usr/bin/env bash
+# Runs one of the benchmarks. Usage: Meta/bench.sh path|routing|control [ARGUMENT...]
+set -euo pipefail
+KIND=${1:?usage: Meta/bench.sh path|routing|control [ARGUMENT...]}
+shift
+case "$KIND" in
+path | routing | control) exec "$(dirname "$0")/bench_$KIND.sh" "$@" ;;
+*)
+  echo "bench: no benchmark '$KIND'; choose path, routing or control" >&2
+  exit 1
+  ;;
+esac
--- a/Services/Daemon/AdminApi.cpp
+++ b/Services/Daemon/AdminApi.cpp
@@ -2,6 +2,8 @@
 
 #include "Version.h"
 
+#include <LibCore/Hash.h>
+
 #include <boost/json.hpp>
 
 namespace comfreyrill {
@@ -14,7 +16,7 @@
                              std::string_view State) {
   boost::json::object Object;
   Object["host"] = Description.Host.Value;
-  Object["incarnation"] = Description.Incarnation.Value;
+  Object["incarnation"] = hexadecimal(Description.Incarnation.Value);
   Object["failure_domain"] = Description.Domain.Value;
   Object["state"] = State;
   Object["manifest_number"] = Description.Manifest.Value;
--- a/Services/Daemon/HostDaemon.cpp
+++ b/Services/Daemon/HostDaemon.cpp
@@ -93,7 +93,7 @@
   const HostDescription &Self = Members->Self;
   const auto Keys = std::make_shared<KeyedCalls>(
       environment(), HostProcess{Self.Host, Self.Incarnation}, *Mesh,
-      makeDirectory(*Members, TimeSource));
+      makeDirectory(*Members, *Mesh, TimeSource));
   // The incarnation in the prefix keeps request ids of a restarted host apart.
   const std::string Prefix = Self.Host.Value + "-" +
                              hexadecimal(Self.Incarnation.Value).substr(0, 8) +
@@ -185,7 +185,7 @@
   Self.PeerAddress = Peers->localEndpoint();
   LogLine Line("listening");
   Line.field("host", Self.Host.Value)
-      .field("incarnation", Self.Incarnation.Value)
+      .field("incarnation", hexadecimal(Self.Incarnation.Value))
       .field("caller_address", formatEndpoint(Self.CallerAddress))
       .field("peer_address", formatEndpoint(Self.PeerAddress))
       .field("admin_address", formatEndpoint(Self.AdminAddress));
--- a/Services/Daemon/HostsCodec.cpp
+++ b/Services/Daemon/HostsCodec.cpp
@@ -4,7 +4,6 @@
 #include <LibJson/JsonReader.h>
 
 #include <boost/json.hpp>
-#include <charconv>
 
 namespace comfreyrill {
 
@@ -13,23 +12,12 @@
 constexpr std::size_t HostsMaximum = 4096;
 constexpr std::uint64_t LatestStartMilliseconds = std::uint64_t{1} << 53;
 
-bool readIncarnation(JsonReader Reader, HostIncarnation &Out) {
-  std::string Text;
-  const auto Parse = [&](std::string_view Digits) {
-    const char *End = Digits.data() + Digits.size();
-    const auto [Position, Code] =
-        std::from_chars(Digits.data(), End, Out.Value, 16);
-    return Digits.size() == 16 && Code == std::errc() && Position == End;
-  };
-  return Reader.matchingText(Text, "16 hexadecimal digits", Parse);
-}
-
 void readEntry(JsonReader Element, HostsObject &Out) {
   HostsEntry Entry;
   std::uint64_t StartedAt = 0;
   bool IsWhole = Element.required("host").identifier(Entry.Host);
-  IsWhole &=
-      readIncarnation(Element.required("incarnation"), Entry.Incarnation);
+  IsWhole &= Element.required("incarnation")
+                 .hexadecimalNumber(Entry.Incarnation.Value);
   IsWhole &= Element.required("started_at_ms")
                  .integer(StartedAt, 0, LatestStartMilliseconds);
   IsWhole &= Element.required("failure_domain").identifier(Entry.Domain);
--- a/Services/Daemon/PeerService.cpp
+++ b/Services/Daemon/PeerService.cpp
@@ -1,5 +1,7 @@
 #include "PeerService.h"
 
+#include <LibCore/Hash.h>
+
 #include <LibMembership/Observe.h>
 #include <LibPeer/HeartbeatConversion.h>
 
@@ -107,7 +109,7 @@
   if (Verdict == HeartbeatVerdict::Joined) {
     LogLine Line("host_joined");
     Line.field("host", Sender.Host.Value)
-        .field("incarnation", Sender.Incarnation.Value);
+        .field("incarnation", hexadecimal(Sender.Incarnation.Value));
     Environment.Decisions.write(Line);
     announce();
   }
@@ -182,7 +184,9 @@
   }
 }
 
-PeerDirectory makeDirectory(const MemberTable &Members,
+// A peer that is heard but cannot be reached (a link cut in one direction)
+// would let every grant request time out, so it is no witness.
+PeerDirectory makeDirectory(const MemberTable &Members, const PeerMesh &Mesh,
                             const Clock &TimeSource) {
   PeerDirectory Directory;
   Directory.Find =
@@ -197,7 +201,7 @@
         Found->Description.PeerAddress, Found->Description.CallerAddress,
         liveness(Members, *Found, TimeSource.now()) == Liveness::Alive};
   };
-  Directory.Candidates = [&Members, &TimeSource] {
+  Directory.Candidates = [&Members, &Mesh, &TimeSource] {
     std::vector<WitnessCandidate> Candidates;
     const TimePoint Now = TimeSource.now();
     for (const Peer &Other : Members.Peers)
@@ -205,6 +209,7 @@
           {{Other.Description.Host, Other.Description.Incarnation},
            Other.Description.Domain,
            Other.Description.State == HostState::Ready &&
+               Mesh.isConnected(Other.Description.PeerAddress) &&
                liveness(Members, Other, Now) == Liveness::Alive});
     return Candidates;
   };
--- a/Services/Daemon/PeerService.h
+++ b/Services/Daemon/PeerService.h
@@ -50,7 +50,7 @@
 };
 
 /// What calls under keys need to know, read from the member table.
-PeerDirectory makeDirectory(const MemberTable &Members,
+PeerDirectory makeDirectory(const MemberTable &Members, const PeerMesh &Mesh,
                             const Clock &TimeSource);
 
 } // namespace comfreyrill
--- a/Services/Daemon/PlatformService.cpp
+++ b/Services/Daemon/PlatformService.cpp
@@ -14,8 +14,6 @@
 constexpr Duration WatchTime = std::chrono::seconds(30);
 // A host learns within this time that it has become a watcher.
 constexpr Duration RoleCheckInterval = std::chrono::milliseconds(250);
-// An object that is created is noticed within this time.
-constexpr Duration MissingObjectInterval = std::chrono::seconds(1);
 constexpr Duration ReportInterval = std::chrono::seconds(2);
 constexpr Duration FirstRetryDelay = std::chrono::milliseconds(200);
 constexpr Duration HostsMaintenanceInterval = std::chrono::seconds(30);
@@ -117,23 +115,23 @@
 // changes from heartbeats.
 Awaitable<void> PlatformService::followDocument(Document Followed) {
   ObjectVersion Version;
+  bool HasRead = false;
   TimePoint NextRead = Environment.TimeSource.now();
   Duration RetryDelay = FirstRetryDelay;
   while (true) {
     const TimePoint Now = Environment.TimeSource.now();
     const PlatformPlan Plan = platformPlan(Members, Now);
-    const bool IsWatch = Plan.IsWatcher && Version.Value > 0;
+    // Version 0 waits for an object that does not exist yet.
+    const bool IsWatch = Plan.IsWatcher && HasRead;
     if (!Plan.IsWatcher && Now < NextRead) {
       co_await pause(std::min(RoleCheckInterval, NextRead - Now));
       continue;
     }
     co_await refresh(Followed, Version, IsWatch);
+    HasRead = HasRead || Members.Self.ReachesPlatform;
     NextRead = Environment.TimeSource.now() + Plan.PollInterval;
     if (Members.Self.ReachesPlatform) {
       RetryDelay = FirstRetryDelay;
-      // An object that does not exist cannot be waited for.
-      if (Version.Value == 0)
-        co_await pause(MissingObjectInterval);
       continue;
     }
     RetryDelay = std::min(RetryDelay * 2, ReportInterval);
--- a/Tests/Client/ClientFixture.h
+++ b/Tests/Client/ClientFixture.h
@@ -71,9 +71,9 @@
     const auto Describe = [](const std::string &Name, std::uint64_t Number,
                              const std::string &State) {
       return R"("host":")" + Name +
-             R"(","incarnation":1,"failure_domain":"a",)" + R"("state":")" +
-             State + R"(","added_later":[],)" + R"("manifest_number":)" +
-             std::to_string(Number);
+             R"(","incarnation":"0000000000000001","failure_domain":"a",)" +
+             R"("state":")" + State + R"(","added_later":[],)" +
+             R"("manifest_number":)" + std::to_string(Number);
     };
     Host.Answers["/v1/status"] =
         "{" + Describe("h1", First, "ready") +
--- a/Tests/Client/TestCommands.cpp
+++ b/Tests/Client/TestCommands.cpp
@@ -58,7 +58,7 @@
   Options.Hosts.clear();
   Platform.Objects["report"] = {
       ObjectVersion{1},
-      R"({"hosts":[{"host":"h9","incarnation":1,"state":"ready",
+      R"({"hosts":[{"host":"h9","incarnation":"0000000000000001","state":"ready",
           "manifest_number":3,"admin_address":")" +
           formatEndpoint(Host.endpoint()) + R"("}]})"};
   EXPECT_EQ(run(Command::Status), ExitCode::Done) << Complaints;
--- a/Tests/LibCore/TestHash.cpp
+++ b/Tests/LibCore/TestHash.cpp
@@ -21,6 +21,11 @@
 
 TEST(Hash, HexadecimalHasSixteenDigits) {
   EXPECT_EQ(hexadecimal(0xBEEF), "000000000000beef");
+  EXPECT_EQ(parseHexadecimal("000000000000beef"), 0xBEEFU);
+  EXPECT_EQ(parseHexadecimal(hexadecimal(~0ULL)), ~0ULL);
+  for (const char *Text : {"", "beef", "000000000000BEEF", "+00000000000beef",
+                           "000000000000beefa", "00000000000 beef"})
+    EXPECT_FALSE(parseHexadecimal(Text).has_value()) << Text;
 }
 
 } // namespace
--- a/Utilities/Client/HostStatus.cpp
+++ b/Utilities/Client/HostStatus.cpp
@@ -1,5 +1,7 @@
 #include <Client/HostStatus.h>
 
+#include <LibCore/Hash.h>
+
 #include <LibJson/JsonReader.h>
 
 #include <limits>
@@ -17,7 +19,7 @@
 HostDescription readHost(JsonReader &Reader) {
   HostDescription Host;
   Reader.required("host").identifier(Host.Host);
-  Reader.required("incarnation").integer(Host.Incarnation.Value, 0, NoLimit);
+  Reader.required("incarnation").hexadecimalNumber(Host.Incarnation.Value);
   Reader.required("failure_domain").identifier(Host.Domain);
   Reader.required("state").string(Host.State, 1, 32);
   Reader.required("manifest_number").integer(Host.InForce.Value, 0, NoLimit);
@@ -72,7 +74,7 @@
 
 json::value hostToJson(const HostDescription &Host) {
   return json::object{{"host", Host.Host.Value},
-                      {"incarnation", Host.Incarnation.Value},
+                      {"incarnation", hexadecimal(Host.Incarnation.Value)},
                       {"failure_domain", Host.Domain.Value},
                       {"state", Host.State},
                       {"manifest_number", Host.InForce.Value},
