Replay: Assert the goal on reports alone

Cause: with reports ignored all replay tests passed, because the preference for near targets and hedging brought most of the gain.

Change: one test without near targets and without hedging. With reports ignored it fails.

--- a/Tests/Replay/TestReplay.cpp
+++ b/Tests/Replay/TestReplay.cpp
@@ -70,6 +70,17 @@
   EXPECT_LE(p99(Input, Unhedged), OracleRatioMaximum * p99(Input, Oracle));
 }
 
+// Guards against ignoring what targets report, which the preference for near
+// targets and hedging would hide.
+TEST(Replay, GoalHoldsOnReportsAlone) {
+  Trace Input = load("t30-load90");
+  for (TargetConfig &Target : Input.Service.Targets)
+    Target.Domain = FailureDomain("elsewhere");
+  PolicySpec Unhedged = Chosen;
+  Unhedged.Hedging = false;
+  EXPECT_LE(p99(Input, Unhedged), OracleRatioMaximum * p99(Input, Oracle));
+}
+
 // Guards against new work for a target that has been leaving for over 2 s.
 TEST(Replay, LeavingTargetGetsNoWork) {
   Trace Input = load("t24-load70");
