Chaos: Print the reasons behind outcomes and keep the run book

A run ended with 407 unknown calls and a request that crashed four targets, and nothing told why. The driver now counts the sends without an answer by reason and writes the targets' run book next to the callers' books.

--- a/Tests/Chaos/ChaosMain.cpp
+++ b/Tests/Chaos/ChaosMain.cpp
@@ -94,6 +94,18 @@
   }
 }
 
+// Tells which reasons stand behind the outcomes that are no answers.
+void printReasons(const std::vector<SendRow> &Sends) {
+  std::map<std::string, std::uint64_t> Counts;
+  for (const SendRow &Row : Sends)
+    if (Row.Outcome != "answer")
+      ++Counts[Row.Outcome + " " + Row.Reason.substr(0, Row.Reason.find(' '))];
+  std::cout << "sends without an answer:";
+  for (const auto &[Name, Count] : Counts)
+    std::cout << " " << Name << "=" << Count << ";";
+  std::cout << "\n";
+}
+
 void checkManifests(Run &Current, Fleet &Processes) {
   for (const Host &Checked : Processes.hosts())
     if (Current.ShownNow[Checked.Name] < Current.HighestAccepted)
@@ -166,6 +178,7 @@
                     " wrong answers; see the books");
   for (const std::string &Line : Lines)
     std::cout << "violation: " << Line << "\n";
+  printReasons(All.Sends);
   std::cout << "runs = " << Runs.size()
             << "; host processes = " << Processes.lives().size()
             << "; manifests applied = " << Current.Applied
@@ -204,6 +217,7 @@
   const auto Length = std::chrono::duration_cast<Duration>(
       std::chrono::duration<double>(Settings.Seconds));
 
+  const std::string Work = Settings.Work;
   Run Current;
   Current.Generator.seed(Settings.Seed);
   Fleet Processes(std::move(Settings));
@@ -226,6 +240,7 @@
                    Current.Context.stop();
                  });
   Current.Context.run();
+  std::ofstream(Work + "/runs.json") << boost::json::serialize(RunBook) << "\n";
   const int Verdict = judge(Current, Processes, RunBook);
   Processes.end();
   return Verdict;
