Daemon: Test keyed calls over real links between hosts

Cause: the checker covers the decisions, but not how the daemon drives them. Change: seven tests run issuer, witness and a third host in one event loop over PeerMesh and PeerServer: stored answers, conflicts, lost witness, lost issuer before and after the run, both lost, silent witness.

--- /dev/null
+++ b/Tests/Daemon/TestKeyedCalls.cpp
@@ -0,0 +1,222 @@
+#include <Daemon/HeaderNames.h>
+#include <Daemon/KeyedCalls.h>
+#include <LibPeer/PeerServer.h>
+
+#include <gtest/gtest.h>
+
+namespace comfreyrill {
+namespace {
+
+/// Hosts in one event loop whose keyed calls talk over real links. A host whose
+/// listener is closed stands for one that was killed.
+class KeyedCallsTest : public testing::Test {
+protected:
+  struct Host {
+    HostProcess Self;
+    std::shared_ptr<PeerMesh> Mesh;
+    std::shared_ptr<PeerServer> Server;
+    std::unique_ptr<KeyedCalls> Keys;
+    int Runs = 0;
+  };
+
+  KeyedCallsTest()
+      : Output(LogLevel::Error, ""), Decisions(Loop.get_executor(), Output),
+        Pool(Loop.get_executor(), TimeSource, std::chrono::seconds(30)),
+        Services(TimeSource), Generator(1) {
+    for (const char *Name : {"h1", "h2", "h3"})
+      addHost(Name);
+  }
+
+  void addHost(const std::string &Name) {
+    auto Added = std::make_unique<Host>();
+    Host &Self = *Added;
+    Self.Self = {HostId(Name), HostIncarnation{Hosts.size() + 1}};
+    Self.Mesh = std::make_shared<PeerMesh>(Loop.get_executor(), TimeSource,
+                                           PeerMeshLimits{}, Random(2));
+    PeerDirectory Directory;
+    Directory.Find = [this](const HostProcess &Wanted) {
+      return findHost(Wanted);
+    };
+    Directory.Candidates = [this] { return candidates(); };
+    Self.Keys = std::make_unique<KeyedCalls>(environment(), Self.Self,
+                                             *Self.Mesh, Directory);
+    Self.Server = std::make_shared<PeerServer>(
+        Loop.get_executor(), TimeSource, PeerServerLimits{},
+        [&Self](const wire::PeerBody &Body, const PeerReply &Reply) {
+          if (Body.__isset.grant_request)
+            Reply.send(Self.Keys->onGrantRequest(Body.grant_request));
+          else if (Body.__isset.seal_request)
+            Reply.send(Self.Keys->onSealRequest(Body.seal_request));
+          else if (Body.__isset.outcome_notice)
+            Self.Keys->onOutcomeNotice(Body.outcome_notice);
+        });
+    EXPECT_TRUE(Self.Server->listen({"127.0.0.1", 0}).has_value());
+    for (const auto &Other : Hosts) {
+      Other->Keys->onSecret(Self.Self.Incarnation, Self.Keys->secret());
+      Self.Keys->onSecret(Other->Self.Incarnation, Other->Keys->secret());
+    }
+    Hosts.push_back(std::move(Added));
+  }
+
+  ExecutionContext environment() {
+    return {Loop.get_executor(), TimeSource, Generator, Pool,
+            Decisions,           Figures,    Services,  FailureDomain("a"),
+            HttpLimits{}};
+  }
+
+  // Callers' listeners are not started, so a relayed call always finds its
+  // issuer unreachable.
+  std::optional<PeerAddresses> findHost(const HostProcess &Wanted) const {
+    for (const auto &Other : Hosts)
+      if (Other->Self == Wanted)
+        return PeerAddresses{
+            Other->Server->localEndpoint(), {"127.0.0.1", 1}, true};
+    return std::nullopt;
+  }
+
+  std::vector<WitnessCandidate> candidates() const {
+    std::vector<WitnessCandidate> Found;
+    for (const auto &Other : Hosts)
+      Found.push_back({Other->Self, FailureDomain("a"),
+                       WitnessesAllowed.contains(Other->Self.Host.Value)});
+    return Found;
+  }
+
+  /// Issues a key at one host whose witness is another one.
+  std::string issue(Host &Issuer, const Host &Witness) {
+    WitnessesAllowed = {Witness.Self.Host.Value};
+    return Issuer.Keys->issue(WitnessPlacement::SameDomain);
+  }
+
+  CallResult call(Host &At, const std::string &Key,
+                  std::uint64_t Fingerprint = 7) {
+    std::optional<CallResult> Result;
+    asio::co_spawn(
+        Loop,
+        [&]() -> Awaitable<void> {
+          KeyedCall Call;
+          Call.KeyText = Key;
+          Call.Original = HttpRequest{http::verb::post, "/v1/call/s/x", 11};
+          Call.Fingerprint = Fingerprint;
+          Call.Deadline = TimeSource.now() + std::chrono::seconds(2);
+          Call.Run = [&At, this](AttemptHooks Hooks) {
+            return run(At, std::move(Hooks));
+          };
+          Result = co_await At.Keys->handle(std::move(Call));
+        },
+        asio::detached);
+    Loop.restart();
+    while (!Result && Loop.run_one() > 0) {
+    }
+    // Lets a notice to the witness leave.
+    Loop.run_for(std::chrono::milliseconds(5));
+    return std::move(*Result);
+  }
+
+  Awaitable<CallResult> run(Host &At, AttemptHooks Hooks) {
+    if (!Hooks.MayBegin())
+      co_return notRunResult("deadline_passed", "");
+    ++At.Runs;
+    co_return answerResult(jsonResponse(http::status::ok, "done"),
+                           TargetId("t1"));
+  }
+
+  asio::io_context Loop;
+  SystemClock TimeSource;
+  Log Output;
+  DecisionLog Decisions;
+  ConnectionPool Pool;
+  ServiceTable Services;
+  Random Generator;
+  Metrics Figures;
+  std::unordered_set<std::string> WitnessesAllowed;
+  std::vector<std::unique_ptr<Host>> Hosts;
+};
+
+// Guards against a second run of the same checkout at its issuer.
+TEST_F(KeyedCallsTest, SameKeyAgainGetsTheStoredAnswer) {
+  Host &Issuer = *Hosts[0];
+  const std::string Key = issue(Issuer, *Hosts[1]);
+  EXPECT_EQ(call(Issuer, Key).Answer.body(), "done");
+  const CallResult Again = call(Issuer, Key);
+  EXPECT_EQ(Again.Kind, Outcome::Answer);
+  EXPECT_EQ(Again.Answer.body(), "done");
+  EXPECT_EQ(Again.Target.Value, "t1");
+  EXPECT_EQ(Issuer.Runs, 1);
+}
+
+// Guards against one caller receiving the answer to another's request.
+TEST_F(KeyedCallsTest, SameKeyForAnotherRequestIsRefused) {
+  Host &Issuer = *Hosts[0];
+  const std::string Key = issue(Issuer, *Hosts[1]);
+  call(Issuer, Key, 7);
+  const CallResult Other = call(Issuer, Key, 8);
+  EXPECT_EQ(Other.Kind, Outcome::NotRun);
+  EXPECT_EQ(Other.Reason, "key_conflict");
+  EXPECT_EQ(Issuer.Runs, 1);
+}
+
+// Guards against a run that the witness does not know of: a third host could
+// then seal the key and report a false "not run".
+TEST_F(KeyedCallsTest, LostWitnessMeansNotRunAndANextKey) {
+  Host &Issuer = *Hosts[0];
+  const std::string Key = issue(Issuer, *Hosts[1]);
+  Hosts[1]->Server->close();
+  const CallResult Result = call(Issuer, Key);
+  EXPECT_EQ(Result.Kind, Outcome::NotRun);
+  EXPECT_FALSE(Result.NextKey.empty());
+  EXPECT_EQ(Issuer.Runs, 0);
+  // The key stays sealed when the witness would be back.
+  EXPECT_EQ(call(Issuer, Key).Kind, Outcome::NotRun);
+  EXPECT_EQ(Issuer.Runs, 0);
+}
+
+// Guards against "unknown" for a request that its lost issuer never started,
+// and against that issuer running it after its caller was told "not run".
+TEST_F(KeyedCallsTest, LostIssuerBeforeTheGrantIsNotRunForEver) {
+  Host &Issuer = *Hosts[0];
+  const std::string Key = issue(Issuer, *Hosts[1]);
+  const CallResult Elsewhere = call(*Hosts[2], Key);
+  EXPECT_EQ(Elsewhere.Kind, Outcome::NotRun);
+  EXPECT_FALSE(Elsewhere.NextKey.empty());
+  // The issuer was only frozen; a copy of the request reaches it now.
+  const CallResult Late = call(Issuer, Key);
+  EXPECT_EQ(Late.Kind, Outcome::NotRun);
+  EXPECT_EQ(Issuer.Runs, 0);
+}
+
+// Guards against losing an answer together with the host that received it.
+TEST_F(KeyedCallsTest, AnswerOutlivesItsIssuer) {
+  Host &Issuer = *Hosts[0];
+  const std::string Key = issue(Issuer, *Hosts[1]);
+  call(Issuer, Key);
+  Issuer.Server->close();
+  CallResult Elsewhere = call(*Hosts[2], Key);
+  // Until the notice reaches the witness the outcome is unknown.
+  for (int Try = 0; Try < 100 && Elsewhere.Kind == Outcome::Unknown; ++Try)
+    Elsewhere = call(*Hosts[2], Key);
+  EXPECT_EQ(Elsewhere.Kind, Outcome::Answer);
+  EXPECT_EQ(Elsewhere.Answer.body(), "done");
+  EXPECT_EQ(Hosts[2]->Runs, 0);
+}
+
+// Guards against a false "not run" when nobody who knows can be asked.
+TEST_F(KeyedCallsTest, IssuerAndWitnessLostIsUnknown) {
+  const std::string Key = issue(*Hosts[0], *Hosts[1]);
+  Hosts[1]->Server->close();
+  const CallResult Elsewhere = call(*Hosts[2], Key);
+  EXPECT_EQ(Elsewhere.Kind, Outcome::Unknown);
+}
+
+// Guards against keys that are bound to a host which has stopped to answer.
+TEST_F(KeyedCallsTest, SilentWitnessIsNotChosenAgain) {
+  Host &Issuer = *Hosts[0];
+  const std::string Key = issue(Issuer, *Hosts[1]);
+  Hosts[1]->Server->close();
+  call(Issuer, Key);
+  const std::string Next = issue(Issuer, *Hosts[1]);
+  EXPECT_EQ(Next.find(":h2:"), std::string::npos) << Next;
+}
+
+} // namespace
+} // namespace comfreyrill
