LibQuarantine: Tell new hosts which requests crash targets

Change: hosts send what they know to a process that joins; a request with evidence is not hedged. Ruled out: lost broadcasts, none were counted.

--- a/Libraries/LibQuarantine/Quarantine.cpp
+++ b/Libraries/LibQuarantine/Quarantine.cpp
@@ -131,4 +131,24 @@
   return {CrashRetryKind::Retry, Now};
 }
 
+bool isSuspected(const QuarantineState &State, std::uint64_t Fingerprint) {
+  return State.Requests.contains(Fingerprint);
+}
+
+std::vector<KnownCrash> knownCrashes(const QuarantineState &State,
+                                     std::size_t RequestsMaximum,
+                                     TimePoint Now) {
+  std::vector<KnownCrash> Known;
+  std::size_t Requests = 0;
+  for (const auto &[Fingerprint, Suspect] : State.Requests) {
+    if (Suspect.ExpiresAt <= Now)
+      continue;
+    if (++Requests > RequestsMaximum)
+      break;
+    for (const Crash &Entry : Suspect.Crashes)
+      Known.push_back({Fingerprint, Entry.Target});
+  }
+  return Known;
+}
+
 } // namespace comfreyrill
--- a/Libraries/LibQuarantine/Quarantine.h
+++ b/Libraries/LibQuarantine/Quarantine.h
@@ -97,6 +97,21 @@
 /// the answer came to this host, peers are told.
 bool recordAnswer(QuarantineState &State, std::uint64_t Fingerprint);
 
+/// Whether there is evidence against the request.
+bool isSuspected(const QuarantineState &State, std::uint64_t Fingerprint);
+
+/// One crash of one request, as told to a host that has just started.
+struct KnownCrash {
+  std::uint64_t Fingerprint = 0;
+  TargetId Target;
+};
+
+/// The crashes that a host which knows nothing has to be told, of at most
+/// RequestsMaximum requests.
+std::vector<KnownCrash> knownCrashes(const QuarantineState &State,
+                                     std::size_t RequestsMaximum,
+                                     TimePoint Now);
+
 /// Whether the request may be handed to a target; if not, it is refused as not
 /// run with the reason "quarantined".
 bool mayRun(const QuarantineState &State, std::uint64_t Fingerprint,
--- a/Services/Daemon/Broadcast.cpp
+++ b/Services/Daemon/Broadcast.cpp
@@ -10,9 +10,13 @@
   const TimePoint Now = TimeSource.now();
   for (const Peer &Other : Members.Peers)
     if (Other.Description.isComplete() &&
-        liveness(Members, Other, Now) != Liveness::Lost &&
-        !Mesh.send(Other.Description.PeerAddress, Body))
-      ++Figures.counter("broadcasts_dropped_total");
+        liveness(Members, Other, Now) != Liveness::Lost)
+      sendTo(Other.Description.PeerAddress, Body);
+}
+
+void Broadcast::sendTo(const Endpoint &Remote, const wire::PeerBody &Body) {
+  if (!Mesh.send(Remote, Body))
+    ++Figures.counter("broadcasts_dropped_total");
 }
 
 } // namespace comfreyrill
--- a/Services/Daemon/Broadcast.h
+++ b/Services/Daemon/Broadcast.h
@@ -15,6 +15,8 @@
 
   /// What cannot be queued for a host is dropped and counted.
   void send(const wire::PeerBody &Body);
+  /// The same for one host.
+  void sendTo(const Endpoint &Remote, const wire::PeerBody &Body);
 
 private:
   const Clock &TimeSource;
--- a/Services/Daemon/CallExecution.cpp
+++ b/Services/Daemon/CallExecution.cpp
@@ -214,6 +214,10 @@
 void CallExecution::startHedge() {
   if (CallerLeft || !Primary || Primary->IsDone)
     return;
+  // A hedge of a request that crashes targets would break a second one before
+  // the first crash is known.
+  if (Input.Crashes.IsSuspected && Input.Crashes.IsSuspected())
+    return;
   const TimePoint Now = Environment.TimeSource.now();
   RoutingState &Routing = Input.Runtime->Routing;
   const ChoiceInput Known{Environment.HostDomain, Input.Deadline, Tried};
--- a/Services/Daemon/CallExecution.h
+++ b/Services/Daemon/CallExecution.h
@@ -40,6 +40,8 @@
 struct CrashHooks {
   std::function<void(const TargetId &Target)> OnCrash;
   std::function<void()> OnAnswer;
+  /// True when the request is suspected of crashing targets.
+  std::function<bool()> IsSuspected;
   std::function<CrashRetryDecision(TimePoint CrashedAt)> MayRetry;
 };
 
--- a/Services/Daemon/PeerService.cpp
+++ b/Services/Daemon/PeerService.cpp
@@ -113,6 +113,8 @@
     Line.field("host", Sender.Host.Value)
         .field("incarnation", hexadecimal(Sender.Incarnation.Value));
     Environment.Decisions.write(Line);
+    if (Sender.isComplete())
+      Quarantine.inform(Sender.PeerAddress);
     announce();
   }
   fetchDocuments();
--- a/Services/Daemon/QuarantineService.cpp
+++ b/Services/Daemon/QuarantineService.cpp
@@ -4,6 +4,25 @@
 
 namespace comfreyrill {
 
+namespace {
+
+// Some 20 KB at most, once for each host that starts.
+constexpr std::size_t InformedRequestsMaximum = 256;
+
+wire::PeerBody evidenceBody(std::uint64_t Fingerprint, const TargetId &Target,
+                            bool IsAnswered) {
+  wire::CrashEvidence Message;
+  Message.__set_fingerprint(static_cast<std::int64_t>(Fingerprint));
+  Message.__set_target(Target.Value);
+  if (IsAnswered)
+    Message.__set_answered(true);
+  wire::PeerBody Body;
+  Body.__set_crash_evidence(Message);
+  return Body;
+}
+
+} // namespace
+
 QuarantineService::QuarantineService(const ExecutionContext &Environment,
                                      Broadcast &Hosts)
     : Environment(Environment), Hosts(Hosts) {}
@@ -18,21 +37,14 @@
       recordCrash(State, Fingerprint, Target, Environment.TimeSource.now());
   log(Fingerprint, Target,
       Counted == CrashResult::Quarantined ? "quarantine" : "count");
-  wire::CrashEvidence Message;
-  Message.__set_fingerprint(static_cast<std::int64_t>(Fingerprint));
-  Message.__set_target(Target.Value);
-  send(Message);
+  Hosts.send(evidenceBody(Fingerprint, Target, false));
 }
 
 void QuarantineService::onAnswer(std::uint64_t Fingerprint) {
   if (!recordAnswer(State, Fingerprint))
     return;
   log(Fingerprint, TargetId(), "clear");
-  wire::CrashEvidence Message;
-  Message.__set_fingerprint(static_cast<std::int64_t>(Fingerprint));
-  Message.__set_target("");
-  Message.__set_answered(true);
-  send(Message);
+  Hosts.send(evidenceBody(Fingerprint, TargetId(), true));
 }
 
 CrashRetryDecision QuarantineService::retryDecision(std::uint64_t Fingerprint,
@@ -52,10 +64,10 @@
     log(Fingerprint, Target, "quarantine");
 }
 
-void QuarantineService::send(const wire::CrashEvidence &Message) {
-  wire::PeerBody Body;
-  Body.__set_crash_evidence(Message);
-  Hosts.send(Body);
+void QuarantineService::inform(const Endpoint &Remote) {
+  for (const KnownCrash &Known : knownCrashes(State, InformedRequestsMaximum,
+                                              Environment.TimeSource.now()))
+    Hosts.sendTo(Remote, evidenceBody(Known.Fingerprint, Known.Target, false));
 }
 
 void QuarantineService::log(std::uint64_t Fingerprint, const TargetId &Target,
@@ -77,6 +89,9 @@
     if (Quarantine.hasEvidence())
       Quarantine.onAnswer(Fingerprint());
   };
+  Hooks.IsSuspected = [&Quarantine, Fingerprint] {
+    return Quarantine.hasEvidence() && Quarantine.isSuspected(Fingerprint());
+  };
   Hooks.MayRetry = [&Quarantine, Fingerprint](TimePoint CrashedAt) {
     return Quarantine.retryDecision(Fingerprint(), CrashedAt);
   };
--- a/Services/Daemon/QuarantineService.h
+++ b/Services/Daemon/QuarantineService.h
@@ -22,11 +22,18 @@
   CrashRetryDecision retryDecision(std::uint64_t Fingerprint,
                                    TimePoint CrashedAt) const;
 
+  bool isSuspected(std::uint64_t Fingerprint) const {
+    return comfreyrill::isSuspected(State, Fingerprint);
+  }
+
+  /// Tells a host that has just started what is known. Without it the new
+  /// process would run requests that all others refuse.
+  void inform(const Endpoint &Remote);
+
   /// Evidence of another host.
   void onEvidence(const wire::CrashEvidence &Message);
 
 private:
-  void send(const wire::CrashEvidence &Message);
   void log(std::uint64_t Fingerprint, const TargetId &Target,
            std::string_view Decision) const;
 
--- a/Tests/LibQuarantine/TestQuarantine.cpp
+++ b/Tests/LibQuarantine/TestQuarantine.cpp
@@ -146,6 +146,22 @@
             CrashRetryKind::Refuse);
 }
 
+// Guards against a restarted host that runs a request which all others refuse.
+TEST_F(Quarantine, NewHostRefusesAfterItWasTold) {
+  crash(1);
+  crash(2);
+  crash(3, Request + 1);
+  QuarantineState NewHost;
+  for (const KnownCrash &Known : knownCrashes(State, 10, Time.now()))
+    recordCrash(NewHost, Known.Fingerprint, Known.Target, Time.now());
+  EXPECT_FALSE(mayRun(NewHost, Request, Time.now()));
+  EXPECT_TRUE(mayRun(NewHost, Request + 1, Time.now()));
+  EXPECT_TRUE(isSuspected(NewHost, Request + 1));
+  EXPECT_FALSE(isSuspected(NewHost, Request + 2));
+  Time.advance(minutes(11));
+  EXPECT_TRUE(knownCrashes(State, 10, Time.now()).empty());
+}
+
 TEST_F(Quarantine, OnlyBadGatewayIsACrashStatus) {
   for (unsigned Status : {200U, 404U, 500U, 503U, 504U})
     EXPECT_FALSE(isCrashStatus(Status));
