Daemon: Name host states in one place and end without teardown

Cause: the read-through found the state of a host named by two functions, figures printed by two, and the same error reply built twice; and the process could destroy services before frames that refer to them when it was stopped with calls in flight. Change: one function for each; the process ends with quick_exit after its loop.

--- a/Services/Daemon/AdminApi.cpp
+++ b/Services/Daemon/AdminApi.cpp
@@ -55,11 +55,10 @@
   return "starting";
 }
 
-std::string_view peerStateName(const MemberTable &Members, const Peer &Other,
-                               TimePoint Now) {
-  switch (liveness(Members, Other, Now)) {
+std::string_view peerStateName(Liveness Heard, HostState Said) {
+  switch (Heard) {
   case Liveness::Alive:
-    return hostStateName(Other.Description.State);
+    return hostStateName(Said);
   case Liveness::Unheard:
   case Liveness::Suspect:
     return "suspect";
@@ -137,7 +136,8 @@
   boost::json::array Peers;
   for (const Peer &Other : Members.Peers)
     Peers.push_back(
-        describe(Other.Description, peerStateName(Members, Other, Now)));
+        describe(Other.Description, peerStateName(liveness(Members, Other, Now),
+                                                  Other.Description.State)));
   Body["peers"] = std::move(Peers);
   boost::json::array Services;
   for (const ServiceConfig &Config : Environment.Services.manifest().Services) {
--- a/Services/Daemon/AdminApi.h
+++ b/Services/Daemon/AdminApi.h
@@ -33,10 +33,9 @@
   std::function<void()> StartDrain;
 };
 
-/// The state of this host or a peer, as in the status: starting, ready,
+/// The state of a host as in the status and the report: starting, ready,
 /// leaving, suspect or lost.
 std::string_view hostStateName(HostState State);
-std::string_view peerStateName(const MemberTable &Members, const Peer &Other,
-                               TimePoint Now);
+std::string_view peerStateName(Liveness Heard, HostState Said);
 
 } // namespace comfreyrill
--- a/Services/Daemon/KeyedCalls.cpp
+++ b/Services/Daemon/KeyedCalls.cpp
@@ -24,6 +24,14 @@
 constexpr Duration SilentIssuerTime = std::chrono::milliseconds(200);
 constexpr std::size_t SecretBytes = 32;
 
+wire::PeerBody errorBody(const Error &Cause) {
+  wire::ErrorReply Reply;
+  Reply.__set_message(Cause.Message);
+  wire::PeerBody Body;
+  Body.__set_error(Reply);
+  return Body;
+}
+
 bool isRelayRefusal(const HttpResponse &Response) {
   return Response.result() == http::status::misdirected_request;
 }
@@ -358,14 +366,10 @@
 }
 
 wire::PeerBody KeyedCalls::onGrantRequest(const wire::GrantRequest &Message) {
-  wire::PeerBody Body;
   const auto Key = parseKey(Message.key);
-  if (!Key) {
-    wire::ErrorReply Reply;
-    Reply.__set_message(Key.error().Message);
-    Body.__set_error(Reply);
-    return Body;
-  }
+  if (!Key)
+    return errorBody(Key.error());
+  wire::PeerBody Body;
   const GrantVerdict Verdict = recordGrant(
       Witness, Key.value(), static_cast<std::uint64_t>(Message.fingerprint),
       Environment.TimeSource.now());
@@ -377,14 +381,10 @@
 }
 
 wire::PeerBody KeyedCalls::onSealRequest(const wire::SealRequest &Message) {
-  wire::PeerBody Body;
   const auto Key = parseKey(Message.key);
-  if (!Key) {
-    wire::ErrorReply Reply;
-    Reply.__set_message(Key.error().Message);
-    Body.__set_error(Reply);
-    return Body;
-  }
+  if (!Key)
+    return errorBody(Key.error());
+  wire::PeerBody Body;
   const SealReply Result =
       sealKey(Witness, Key.value(), Environment.TimeSource.now());
   wire::SealReply Reply;
--- a/Services/Daemon/Metrics.cpp
+++ b/Services/Daemon/Metrics.cpp
@@ -6,8 +6,9 @@
 
 namespace {
 
+template <typename Value>
 void printFigure(std::string &Text, std::string_view Name,
-                 std::string_view Labels, double Value) {
+                 std::string_view Labels, Value Figure) {
   Text += Name;
   if (!Labels.empty()) {
     Text += '{';
@@ -15,20 +16,7 @@
     Text += '}';
   }
   Text += ' ';
-  Text += std::to_string(Value);
-  Text += '\n';
-}
-
-void printCount(std::string &Text, std::string_view Name,
-                std::string_view Labels, std::uint64_t Value) {
-  Text += Name;
-  if (!Labels.empty()) {
-    Text += '{';
-    Text += Labels;
-    Text += '}';
-  }
-  Text += ' ';
-  Text += std::to_string(Value);
+  Text += std::to_string(Figure);
   Text += '\n';
 }
 
@@ -51,7 +39,7 @@
                            std::string_view Labels) const {
   const std::string Base(Name);
   const auto Count = accumulators::count(Summary);
-  printCount(Text, Base + "_count", Labels, Count);
+  printFigure(Text, Base + "_count", Labels, Count);
   if (Count == 0)
     return;
   const std::string Prefix = std::string(Labels) + ",quantile=";
@@ -85,17 +73,17 @@
 std::string Metrics::text() const {
   std::string Text;
   for (const auto &[Name, Value] : Counters)
-    printCount(Text, "comfreyrill_" + Name, "", Value);
+    printFigure(Text, "comfreyrill_" + Name, "", Value);
   for (const auto &[Name, Entry] : Services) {
     const std::string Label = "service=\"" + Name.Value + "\"";
     const std::string Calls = "comfreyrill_calls_total";
-    printCount(Text, Calls, Label + ",outcome=\"answer\"", Entry.Answers);
-    printCount(Text, Calls, Label + ",outcome=\"not-run\"", Entry.NotRun);
-    printCount(Text, Calls, Label + ",outcome=\"unknown\"", Entry.Unknown);
-    printCount(Text, "comfreyrill_attempts_total", Label, Entry.Attempts);
-    printCount(Text, "comfreyrill_retries_total", Label, Entry.Retries);
-    printCount(Text, "comfreyrill_hedges_total", Label, Entry.Hedges);
-    printCount(Text, "comfreyrill_probes_total", Label, Entry.Probes);
+    printFigure(Text, Calls, Label + ",outcome=\"answer\"", Entry.Answers);
+    printFigure(Text, Calls, Label + ",outcome=\"not-run\"", Entry.NotRun);
+    printFigure(Text, Calls, Label + ",outcome=\"unknown\"", Entry.Unknown);
+    printFigure(Text, "comfreyrill_attempts_total", Label, Entry.Attempts);
+    printFigure(Text, "comfreyrill_retries_total", Label, Entry.Retries);
+    printFigure(Text, "comfreyrill_hedges_total", Label, Entry.Hedges);
+    printFigure(Text, "comfreyrill_probes_total", Label, Entry.Probes);
     Entry.CallTime.print(Text, "comfreyrill_call_seconds", Label);
     Entry.AddedTime.print(Text, "comfreyrill_added_seconds", Label);
   }
--- a/Services/Daemon/PlatformService.cpp
+++ b/Services/Daemon/PlatformService.cpp
@@ -28,19 +28,6 @@
   return Out;
 }
 
-std::string_view livenessName(const MemberStatus &Status) {
-  switch (Status.State) {
-  case Liveness::Alive:
-    return hostStateName(Status.Description.State);
-  case Liveness::Unheard:
-  case Liveness::Suspect:
-    return "suspect";
-  case Liveness::Lost:
-    return "lost";
-  }
-  return "lost";
-}
-
 } // namespace
 
 PlatformService::PlatformService(const ExecutionContext &Environment,
@@ -230,8 +217,8 @@
       continue;
     Report.Hosts.push_back(
         {Status.Description.Host, Status.Description.Incarnation,
-         std::string(livenessName(Status)), Status.Description.Manifest,
-         Status.Description.AdminAddress});
+         std::string(peerStateName(Status.State, Status.Description.State)),
+         Status.Description.Manifest, Status.Description.AdminAddress});
   }
   const std::string Text = formatHostReport(Report);
   if (Text == LastReport)
--- a/Services/Daemon/main.cpp
+++ b/Services/Daemon/main.cpp
@@ -2,6 +2,7 @@
 #include "Version.h"
 
 #include <csignal>
+#include <cstdlib>
 #include <docopt/docopt.h>
 #include <iostream>
 
@@ -38,6 +39,7 @@
   Process.stop();
 }
 
+/// Returns only when the host cannot start.
 int run(const Settings &Configured) {
   // A peer that closes while it is written to must not end the process.
   std::signal(SIGPIPE, SIG_IGN);
@@ -51,7 +53,10 @@
   }
   asio::co_spawn(Loop, awaitSignals(Loop, Process), asio::detached);
   Loop.run();
-  return 0;
+  // Frames that still wait in the loop refer to services and services to the
+  // loop, so there is no order in which both could be destroyed safely.
+  std::cout.flush();
+  std::quick_exit(0);
 }
 
 } // namespace
