Daemon: Seal the key of a refused call before asking the witness

No false not-run followed, since the key was finished as not run, but a silent witness delayed the refusal and replaced its reason. Change: handle uses refuseCall, runGranted no longer looks at refusals, and the seal is told to the witness.

--- a/Services/Daemon/KeyedCalls.cpp
+++ b/Services/Daemon/KeyedCalls.cpp
@@ -104,8 +104,11 @@
     co_return faultyRequestResult(http::status::bad_request, "faulty_key",
                                   Parsed.error().Message);
   const IdempotencyKey Key = Parsed.value();
+  const TimePoint Now = Environment.TimeSource.now();
   const BeginDecision Decision =
-      beginCall(Issuer, Key, Call.Fingerprint, Environment.TimeSource.now());
+      Call.Refusal
+          ? refuseCall(Issuer, Key, Call.Fingerprint, Call.Refusal->Reason, Now)
+          : beginCall(Issuer, Key, Call.Fingerprint, Now);
   switch (Decision.Verdict) {
   case BeginVerdict::AskWitness:
     co_return co_await askWitness(Call, Key);
@@ -116,8 +119,10 @@
   case BeginVerdict::Replay:
     log(Call, "replay", Decision.Stored->Reason);
     // The refusal that has just sealed the key says more than the record.
-    if (Call.Refusal && Call.Refusal->Reason == Decision.Stored->Reason)
+    if (Call.Refusal && Call.Refusal->Reason == Decision.Stored->Reason) {
+      notifyWitness(Key, Decision.Stored);
       co_return withNextKey(Call, std::move(*Call.Refusal));
+    }
     co_return withNextKey(Call, fromStored(*Decision.Stored));
   case BeginVerdict::NotRun:
     log(Call, "not_run", "key_sealed");
@@ -197,17 +202,12 @@
   if (!Running.contains(Key.Sequence))
     Running.emplace(Key.Sequence,
                     std::make_shared<InFlight>(Environment.Context));
-  CallResult Result;
-  if (Call.Refusal) {
-    Result = std::move(*Call.Refusal);
-  } else {
-    AttemptHooks Hooks;
-    Hooks.MayBegin = [this, Key, Deadline = Call.Deadline] {
-      return beginAttempt(Issuer, Key, Deadline, Environment.TimeSource.now());
-    };
-    Hooks.ProvedNotRun = [this, Key] { recordAttemptNotRun(Issuer, Key); };
-    Result = co_await Call.Run(std::move(Hooks));
-  }
+  AttemptHooks Hooks;
+  Hooks.MayBegin = [this, Key, Deadline = Call.Deadline] {
+    return beginAttempt(Issuer, Key, Deadline, Environment.TimeSource.now());
+  };
+  Hooks.ProvedNotRun = [this, Key] { recordAttemptNotRun(Issuer, Key); };
+  CallResult Result = co_await Call.Run(std::move(Hooks));
   const SharedOutcome Stored =
       finishCall(Issuer, Key, toStored(Result), Environment.TimeSource.now());
   notifyWitness(Key, Stored);
--- a/Tests/Daemon/TestKeyedCalls.cpp
+++ b/Tests/Daemon/TestKeyedCalls.cpp
@@ -89,7 +89,8 @@
   }
 
   CallResult call(Host &At, const std::string &Key,
-                  std::uint64_t Fingerprint = 7) {
+                  std::uint64_t Fingerprint = 7,
+                  std::optional<CallResult> Refusal = std::nullopt) {
     std::optional<CallResult> Result;
     asio::co_spawn(
         Loop,
@@ -99,6 +100,7 @@
           Call.Original = HttpRequest{http::verb::post, "/v1/call/s/x", 11};
           Call.Fingerprint = Fingerprint;
           Call.Deadline = TimeSource.now() + std::chrono::seconds(2);
+          Call.Refusal = std::move(Refusal);
           Call.Run = [&At, this](AttemptHooks Hooks) {
             return run(At, std::move(Hooks));
           };
@@ -208,6 +210,22 @@
   EXPECT_EQ(Elsewhere.Kind, Outcome::Unknown);
 }
 
+// Guards against a late copy that runs after its caller was told "not run", and
+// against a refusal that waits for a witness which does not answer.
+TEST_F(KeyedCallsTest, RefusedCallSealsItsKeyWithoutTheWitness) {
+  Host &Issuer = *Hosts[0];
+  const std::string Key = issue(Issuer, *Hosts[1]);
+  Hosts[1]->Server->close();
+  const CallResult Refused =
+      call(Issuer, Key, 7, notRunResult("host_overloaded", "use another host"));
+  EXPECT_EQ(Refused.Kind, Outcome::NotRun);
+  EXPECT_EQ(Refused.Reason, "host_overloaded");
+  EXPECT_FALSE(Refused.NextKey.empty());
+  const CallResult Late = call(Issuer, Key);
+  EXPECT_EQ(Late.Kind, Outcome::NotRun);
+  EXPECT_EQ(Issuer.Runs, 0);
+}
+
 // Guards against keys that are bound to a host which has stopped to answer.
 TEST_F(KeyedCallsTest, SilentWitnessIsNotChosenAgain) {
   Host &Issuer = *Hosts[0];
