--- /dev/null
+++ b/Libraries/LibCore/Listen.cpp
@@ -0,0 +1,26 @@
+#include <LibCore/Listen.h>
+
+namespace comfreyrill {
+
+Result<Endpoint> listenOn(TcpAcceptor &Acceptor, const Endpoint &Requested) {
+  boost::system::error_code Code;
+  const auto Address = asio::ip::make_address(Requested.Address, Code);
+  const asio::ip::tcp::endpoint Wanted(Address, Requested.Port);
+  if (!Code)
+    Acceptor.open(Wanted.protocol(), Code);
+  if (!Code)
+    Acceptor.set_option(asio::socket_base::reuse_address(true), Code);
+  if (!Code)
+    Acceptor.bind(Wanted, Code);
+  if (!Code)
+    Acceptor.listen(asio::socket_base::max_listen_connections, Code);
+  if (Code)
+    return Error{ErrorKind::Unavailable,
+                 "cannot listen on " + formatEndpoint(Requested) + ": " +
+                     Code.message() +
+                     "; choose a free port and an address of this host"};
+  const auto Bound = Acceptor.local_endpoint(Code);
+  return Endpoint{Bound.address().to_string(), Bound.port()};
+}
+
+} // namespace comfreyrill
--- a/Libraries/LibHttp/ConnectionPool.cpp
+++ b/Libraries/LibHttp/ConnectionPool.cpp
@@ -38,11 +38,4 @@
   }
 }
 
-void ConnectionPool::closeIdle(const Endpoint &Remote) { Idle.erase(Remote); }
-
-std::size_t ConnectionPool::idleConnections(const Endpoint &Remote) const {
-  const auto Position = Idle.find(Remote);
-  return Position == Idle.end() ? 0 : Position->second.size();
-}
-
 } // namespace comfreyrill
--- a/Libraries/LibHttp/ConnectionPool.h
+++ b/Libraries/LibHttp/ConnectionPool.h
@@ -26,11 +26,6 @@
   /// Closes idle connections whose time is up.
   void closeExpired();
 
-  /// Closes the idle connections to one endpoint.
-  void closeIdle(const Endpoint &Remote);
-
-  std::size_t idleConnections(const Endpoint &Remote) const;
-
 private:
   struct IdleEntry {
     std::shared_ptr<HttpConnection> Connection;
--- a/Libraries/LibPeer/PeerServer.cpp
+++ b/Libraries/LibPeer/PeerServer.cpp
@@ -1,5 +1,6 @@
 #include <LibPeer/PeerServer.h>
 
+#include <LibCore/Listen.h>
 #include <vector>
 
 namespace comfreyrill {
@@ -44,24 +45,7 @@
       SweepTimer(Context) {}
 
 Result<void> PeerServer::listen(const Endpoint &Requested) {
-  boost::system::error_code Code;
-  const auto Address = asio::ip::make_address(Requested.Address, Code);
-  const asio::ip::tcp::endpoint Wanted(Address, Requested.Port);
-  if (!Code)
-    Acceptor.open(Wanted.protocol(), Code);
-  if (!Code)
-    Acceptor.set_option(asio::socket_base::reuse_address(true), Code);
-  if (!Code)
-    Acceptor.bind(Wanted, Code);
-  if (!Code)
-    Acceptor.listen(asio::socket_base::max_listen_connections, Code);
-  if (Code)
-    return Error{ErrorKind::Unavailable,
-                 "cannot listen on " + formatEndpoint(Requested) + ": " +
-                     Code.message() +
-                     "; choose a free port and an address of this host"};
-  const auto Bound = Acceptor.local_endpoint(Code);
-  Local = {Bound.address().to_string(), Bound.port()};
+  TRY(Local, listenOn(Acceptor, Requested));
   asio::co_spawn(
       Context, [Self = shared_from_this()] { return Self->accept(); },
       asio::detached);
--- a/Meta/bench_path.sh
+++ b/Meta/bench_path.sh
@@ -6,11 +6,6 @@
 cd "$(dirname "$0")/.."
 SECONDS_EACH=${1:-4}
 ROUNDS=3
-if [ -z "${SKIP_BUILD:-}" ]; then
-  Meta/install_packages.sh
-  cmake --preset default >/dev/null
-  cmake --build build
-fi
 source Meta/processes.sh
 trap end_processes EXIT
 CALLER=$BUILD/Tests/StandIns/standin-caller
--- a/Meta/processes.sh
+++ b/Meta/processes.sh
@@ -1,5 +1,12 @@
-# Functions that run.sh and bench_path.sh share: starting the real processes on
-# free ports and ending them by id. Sourced after "set -euo pipefail".
+# Builds unless SKIP_BUILD is set. Then functions that run.sh and the benchmarks
+# share: starting the real processes on free ports and ending them by id.
+# Sourced after "set -euo pipefail".
+
+if [ -z "${SKIP_BUILD:-}" ]; then
+  Meta/install_packages.sh
+  cmake --preset default >/dev/null
+  cmake --build build
+fi
 
 BUILD=${BUILD:-build}
 WORK=$(mktemp -d)
--- a/Meta/run.sh
+++ b/Meta/run.sh
@@ -5,11 +5,6 @@
 # Usage: Meta/run.sh [--keep]; --keep leaves the processes up until Ctrl-C.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-if [ -z "${SKIP_BUILD:-}" ]; then
-  Meta/install_packages.sh
-  cmake --preset default >/dev/null
-  cmake --build build
-fi
 source Meta/processes.sh
 trap end_processes EXIT
 FAILED=0
