StoreService: List again after each failed watch

A watch that resumed at its old revision while the store dropped its history heard nothing until the next change and got no error (trace: edge-walsall-4, watch after=2 from 2.25 s to 6.84 s); hosts that resumed some 20 ms later got 410 and listed. Change: list after every failed watch.

--- a/Libraries/LibGateway/ProbeAllowance.cpp
+++ b/Libraries/LibGateway/ProbeAllowance.cpp
@@ -16,7 +16,7 @@
 } // namespace
 
 std::size_t takeProbes(ProbeAllowance &Allowance, const ProbePolicy &Policy,
-                       std::size_t Wanted, TimePoint Now) {
+                       const ProbeDemand &Demand, TimePoint Now) {
   const double Rate =
       UsedShare * Policy.PerTarget * static_cast<double>(Policy.Targets) /
       static_cast<double>(std::max<std::size_t>(Policy.Hosts, 1));
@@ -25,8 +25,9 @@
   Allowance.FilledAt = Now;
   Allowance.Tokens = std::min(Allowance.Tokens + Rate * std::max(Elapsed, 0.0),
                               Rate * KeptSeconds);
-  const auto Taken = static_cast<std::size_t>(
-      std::clamp(Allowance.Tokens, 0.0, static_cast<double>(Wanted)));
+  const auto Free = static_cast<std::size_t>(std::max(Allowance.Tokens, 0.0));
+  const std::size_t Taken =
+      std::clamp(Free, std::min(Demand.Least, Demand.Most), Demand.Most);
   Allowance.Tokens -= static_cast<double>(Taken);
   return Taken;
 }
--- a/Libraries/LibGateway/ProbeAllowance.h
+++ b/Libraries/LibGateway/ProbeAllowance.h
@@ -21,8 +21,15 @@
   std::size_t Hosts = 1;
 };
 
-/// Takes up to Wanted probes from this host's share; returns how many.
+/// How many probes a decision asks for.
+struct ProbeDemand {
+  /// Taken in any case, on credit when the share is used up.
+  std::size_t Least = 0;
+  std::size_t Most = 0;
+};
+
+/// Takes probes from this host's share; returns how many.
 std::size_t takeProbes(ProbeAllowance &Allowance, const ProbePolicy &Policy,
-                       std::size_t Wanted, TimePoint Now);
+                       const ProbeDemand &Demand, TimePoint Now);
 
 } // namespace comfreyrill
--- a/Services/Gateway/RequestExecution.cpp
+++ b/Services/Gateway/RequestExecution.cpp
@@ -8,8 +8,9 @@
 
 namespace {
 
-// Probes for one request: enough near targets that one of them is usually idle
-// and at its usual speed, then some far ones when none is.
+// Probes for one request: at least one, which checks the connection before the
+// request is put at risk on it; enough near targets that one of them is usually
+// idle and at its usual speed, then some far ones when none is.
 constexpr std::size_t NearProbes = 5;
 constexpr std::size_t FarProbes = 4;
 // A host without a configuration has one within a second of reaching the store.
@@ -109,7 +110,7 @@
 }
 
 Awaitable<std::vector<FoundTarget>>
-RequestExecution::probe(bool IsNear, std::size_t Wanted) {
+RequestExecution::probe(bool IsNear, ProbeDemand Demand) {
   auto Candidates =
       Environment.Known.candidates(Service, Environment.HostDomain);
   std::erase_if(Candidates, [&](const PlacementCandidate &Candidate) {
@@ -118,13 +119,11 @@
   const ProbePolicy Policy{Environment.ProbesPerTarget,
                            Environment.Known.targets().Targets.size(),
                            Environment.Hosts()};
-  // One probe is sent in any case: it checks the connection before the request
-  // is put at risk on it.
-  const std::size_t Allowed =
-      std::max<std::size_t>(takeProbes(Environment.Probes, Policy,
-                                       std::min(Wanted, Candidates.size()),
-                                       Environment.TimeSource.now()),
-                            1);
+  Demand.Most = std::min(Demand.Most, Candidates.size());
+  const std::size_t Allowed = takeProbes(Environment.Probes, Policy, Demand,
+                                         Environment.TimeSource.now());
+  if (Allowed == 0)
+    co_return std::vector<FoundTarget>{};
   co_return co_await Prober.run(
       chooseProbes(std::move(Candidates), Allowed, Environment.Generator),
       Service, HealthPath, Deadline);
@@ -132,7 +131,7 @@
 
 Awaitable<std::optional<FoundTarget>> RequestExecution::findTarget() {
   while (!HasCallerLeft) {
-    auto Found = co_await probe(true, NearProbes);
+    auto Found = co_await probe(true, {1, NearProbes});
     std::vector<ProbedCandidate> Probed;
     const auto Rate = [&] {
       Probed.clear();
@@ -143,7 +142,7 @@
     auto Best = Rate();
     if (!Best || !Probed[*Best].IsHealthy ||
         expectedEffort(Probed[*Best]) > SatisfyingEffort) {
-      auto Far = co_await probe(false, FarProbes);
+      auto Far = co_await probe(false, {Found.empty() ? 1U : 0U, FarProbes});
       std::move(Far.begin(), Far.end(), std::back_inserter(Found));
       Best = Rate();
     }
--- a/Services/Gateway/RequestExecution.h
+++ b/Services/Gateway/RequestExecution.h
@@ -37,7 +37,7 @@
   bool mayBeginAttempt();
   /// A target to send the request to; none when it is to be refused.
   Awaitable<std::optional<FoundTarget>> findTarget();
-  Awaitable<std::vector<FoundTarget>> probe(bool IsNear, std::size_t Wanted);
+  Awaitable<std::vector<FoundTarget>> probe(bool IsNear, ProbeDemand Demand);
   Awaitable<AttemptReport> attempt(FoundTarget Target);
   HttpResponse answerFor(AttemptReport Last);
   HttpResponse refuse(http::status Status, std::string_view Reason,
--- a/Services/Gateway/StoreService.cpp
+++ b/Services/Gateway/StoreService.cpp
@@ -37,16 +37,13 @@
 
 Awaitable<void> StoreService::follow(Subject Followed) {
   std::uint32_t InARow = 0;
-  StoreRevision Seen;
   while (!IsStopped) {
-    const StoreRevision Before = Seen;
-    const Error Cause = co_await followOnce(Followed, Seen);
-    InARow = Seen == Before ? InARow + 1 : 1;
-    if (Cause.Kind == ErrorKind::NotFound) {
-      // The history is gone, not the store: list again at once.
-      Seen = {};
+    bool IsListed = false;
+    const Error Cause = co_await followOnce(Followed, IsListed);
+    InARow = IsListed ? 1 : InARow + 1;
+    // The history is gone, not the store: list again at once.
+    if (Cause.Kind == ErrorKind::NotFound)
       continue;
-    }
     noteFailure(Cause);
     Timer Pause(Environment.Context);
     Pause.expires_after(retryDelay(InARow, Pauses, Environment.Generator));
@@ -54,18 +51,27 @@
   }
 }
 
-Awaitable<Error> StoreService::followOnce(Subject Followed,
-                                          StoreRevision &Seen) {
-  if (Seen.Value == 0) {
-    auto Read = co_await readAll(Followed);
-    if (!Read)
-      co_return Read.error();
-    Seen = Read.value();
-  }
+// Lists in any case: a watch that resumes at an old revision while the store is
+// dropping its history waits for the next change without an error, and misses
+// the changes in between.
+Awaitable<Error> StoreService::followOnce(Subject Followed, bool &IsListed) {
+  auto Read = co_await readAll(Followed);
+  if (!Read)
+    co_return Read.error();
+  IsListed = true;
+  StoreRevision Seen = Read.value();
   const bool IsConfiguration = Followed == Subject::Configuration;
   while (!IsStopped) {
     const auto Changes = co_await Store.watch(kindOf(IsConfiguration), Seen,
                                               WatchTime, CallTime);
+    LogLine Line("store_watch");
+    Line.field("kind", kindOf(IsConfiguration))
+        .field("after", Seen.Value)
+        .field("revision", Changes ? Changes.value().Revision.Value : 0)
+        .field("events",
+               Changes ? std::uint64_t{Changes.value().Events.size()} : 0)
+        .field("cause", Changes ? "" : Changes.error().Message);
+    Environment.Events.write(LogLevel::Info, "store_watch", Line);
     if (!Changes)
       co_return Changes.error();
     noteSuccess(Followed);
--- a/Services/Gateway/StoreService.h
+++ b/Services/Gateway/StoreService.h
@@ -30,7 +30,7 @@
 
   Awaitable<void> follow(Subject Followed);
   /// Lists, then watches until a call fails.
-  Awaitable<Error> followOnce(Subject Followed, StoreRevision &Seen);
+  Awaitable<Error> followOnce(Subject Followed, bool &IsListed);
   Awaitable<Result<StoreRevision>> readAll(Subject Followed);
   void takeList(Subject Followed,
                 const std::vector<platform::StoreObject> &Objects,
