--- a/Libraries/LibGateway/TargetDirectory.cpp
+++ b/Libraries/LibGateway/TargetDirectory.cpp
@@ -46,6 +46,27 @@
   return true;
 }
 
+std::vector<TargetId> missingFrom(const TargetDirectory &Directory,
+                                  const std::set<TargetId> &Present) {
+  std::vector<TargetId> Missing;
+  for (const auto &[Id, Known] : Directory.Targets)
+    if (!Present.contains(Id))
+      Missing.push_back(Id);
+  return Missing;
+}
+
+RegistrationChange changeOf(const TargetDirectory &Directory,
+                            const TargetId &Id, TimePoint Now) {
+  RegistrationChange Change{Id, std::nullopt, Directory.Revision};
+  const auto Position = Directory.Targets.find(Id);
+  if (Position == Directory.Targets.end())
+    return Change;
+  Change.Registration = Position->second.Registration;
+  Change.Registration->ColdTime =
+      std::max(Position->second.ColdUntil - Now, Duration::zero());
+  return Change;
+}
+
 } // namespace
 
 void recordStoreReturn(TargetDirectory &Directory, TimePoint Now) {
@@ -55,24 +76,24 @@
       Known.LapsesAt = Directory.LapseGraceUntil;
 }
 
-bool replaceRegistrations(TargetDirectory &Directory,
-                          const std::vector<TargetRegistration> &Listed,
-                          StoreRevision Revision, TimePoint Now) {
+std::optional<std::vector<TargetId>>
+replaceRegistrations(TargetDirectory &Directory,
+                     const std::vector<TargetRegistration> &Listed,
+                     StoreRevision Revision, TimePoint Now) {
   if (Revision < Directory.Revision)
-    return false;
+    return std::nullopt;
   std::set<TargetId> Present;
+  std::vector<TargetId> Changed;
   for (const TargetRegistration &Registered : Listed) {
     Present.insert(Registered.Id);
-    put(Directory, Registered, Now);
+    if (put(Directory, Registered, Now))
+      Changed.push_back(Registered.Id);
   }
-  std::vector<TargetId> Missing;
-  for (const auto &[Id, Known] : Directory.Targets)
-    if (!Present.contains(Id))
-      Missing.push_back(Id);
-  for (const TargetId &Id : Missing)
-    miss(Directory, Id, Now);
+  for (const TargetId &Id : missingFrom(Directory, Present))
+    if (miss(Directory, Id, Now))
+      Changed.push_back(Id);
   Directory.Revision = Revision;
-  return true;
+  return Changed;
 }
 
 bool applyChange(TargetDirectory &Directory, const RegistrationChange &Change,
@@ -94,4 +115,46 @@
   return Dropped;
 }
 
+TargetDelta makeDelta(const TargetDirectory &Directory, StoreRevision Base,
+                      const std::vector<TargetId> &Changed, TimePoint Now) {
+  TargetDelta Delta{Base, Directory.Revision, {}};
+  for (const TargetId &Id : Changed)
+    Delta.Changes.push_back(changeOf(Directory, Id, Now));
+  return Delta;
+}
+
+TargetDelta makeCompleteDelta(const TargetDirectory &Directory, TimePoint Now) {
+  TargetDelta Delta{{}, Directory.Revision, {}};
+  for (const auto &[Id, Known] : Directory.Targets)
+    Delta.Changes.push_back(changeOf(Directory, Id, Now));
+  return Delta;
+}
+
+// The sender has decided what is gone, so no grace applies here.
+std::optional<std::vector<TargetId>> applyDelta(TargetDirectory &Directory,
+                                                const TargetDelta &Delta,
+                                                TimePoint Now) {
+  const bool IsComplete = Delta.Base.Value == 0;
+  if (Delta.Revision < Directory.Revision ||
+      (!IsComplete && Delta.Base > Directory.Revision))
+    return std::nullopt;
+  std::set<TargetId> Present;
+  std::vector<TargetId> Changed;
+  for (const RegistrationChange &Change : Delta.Changes) {
+    Present.insert(Change.Id);
+    const bool IsChanged = Change.Registration
+                               ? put(Directory, *Change.Registration, Now)
+                               : Directory.Targets.erase(Change.Id) > 0;
+    if (IsChanged)
+      Changed.push_back(Change.Id);
+  }
+  if (IsComplete)
+    for (const TargetId &Id : missingFrom(Directory, Present)) {
+      Directory.Targets.erase(Id);
+      Changed.push_back(Id);
+    }
+  Directory.Revision = Delta.Revision;
+  return Changed;
+}
+
 } // namespace comfreyrill
--- a/Libraries/LibGateway/TargetDirectory.h
+++ b/Libraries/LibGateway/TargetDirectory.h
@@ -63,17 +63,38 @@
 /// Records that the store answers again after an outage.
 void recordStoreReturn(TargetDirectory &Directory, TimePoint Now);
 
-/// Takes the complete list as of a revision. Ignored when it is older than what
-/// is known; returns whether it was taken.
-bool replaceRegistrations(TargetDirectory &Directory,
-                          const std::vector<TargetRegistration> &Listed,
-                          StoreRevision Revision, TimePoint Now);
+/// Takes the complete list as of a revision and returns the targets that
+/// changed; nothing when the list is older than what is known.
+std::optional<std::vector<TargetId>>
+replaceRegistrations(TargetDirectory &Directory,
+                     const std::vector<TargetRegistration> &Listed,
+                     StoreRevision Revision, TimePoint Now);
 
-/// Takes one change. Returns whether any target changed.
+/// Takes one change. Returns whether the target changed.
 bool applyChange(TargetDirectory &Directory, const RegistrationChange &Change,
                  TimePoint Now);
 
 /// Drops targets whose entries have been missing for too long.
 std::vector<TargetId> dropLapsed(TargetDirectory &Directory, TimePoint Now);
 
+/// Changes from one revision to another, as one host hands them to others. A
+/// base of 0 makes it the complete list.
+struct TargetDelta {
+  StoreRevision Base;
+  StoreRevision Revision;
+  std::vector<RegistrationChange> Changes;
+};
+
+/// The delta that brings a host at the base revision up to date, when the given
+/// targets have changed since.
+TargetDelta makeDelta(const TargetDirectory &Directory, StoreRevision Base,
+                      const std::vector<TargetId> &Changed, TimePoint Now);
+/// The delta for a host that knows nothing.
+TargetDelta makeCompleteDelta(const TargetDirectory &Directory, TimePoint Now);
+
+/// Takes a delta of another host and returns the targets that changed; nothing
+/// when it is older than what is known or begins after it.
+std::optional<std::vector<TargetId>>
+applyDelta(TargetDirectory &Directory, const TargetDelta &Delta, TimePoint Now);
+
 } // namespace comfreyrill
--- a/Libraries/LibMembership/HostDescription.h
+++ b/Libraries/LibMembership/HostDescription.h
@@ -30,6 +30,9 @@
   std::uint64_t FleetVersion = 0;
   /// False after the host failed to reach the platform.
   bool ReachesPlatform = true;
+  /// True while the host follows the platform's store and its last call was
+  /// answered.
+  bool WatchesStore = false;
   /// Heartbeat of that host which this description is taken from.
   std::uint64_t Sequence = 0;
 
--- a/Libraries/LibMembership/MemberTable.cpp
+++ b/Libraries/LibMembership/MemberTable.cpp
@@ -128,6 +128,10 @@
   return announce(Table, Table.Self.ReachesPlatform, IsReached, Now);
 }
 
+bool announceWatching(MemberTable &Table, bool IsWatching, TimePoint Now) {
+  return announce(Table, Table.Self.WatchesStore, IsWatching, Now);
+}
+
 bool isSuperseded(const MemberTable &Table, TimePoint Now) {
   if (!Table.Rival || liveness(Table, *Table.Rival, Now) != Liveness::Alive)
     return false;
--- a/Libraries/LibMembership/MemberTable.h
+++ b/Libraries/LibMembership/MemberTable.h
@@ -138,6 +138,9 @@
 /// Records whether the last call to the platform reached it.
 bool announcePlatform(MemberTable &Table, bool IsReached, TimePoint Now);
 
+/// Records whether this host follows the store successfully.
+bool announceWatching(MemberTable &Table, bool IsWatching, TimePoint Now);
+
 /// True when another process runs under the id of this host and started later.
 /// This process should drain.
 bool isSuperseded(const MemberTable &Table, TimePoint Now);
--- a/Libraries/LibMembership/Observe.cpp
+++ b/Libraries/LibMembership/Observe.cpp
@@ -34,6 +34,7 @@
     Facts.Manifest.Value = std::max(Facts.Manifest.Value, Newer.Manifest.Value);
     Facts.FleetVersion = std::max(Facts.FleetVersion, Newer.FleetVersion);
     Facts.ReachesPlatform = Newer.ReachesPlatform;
+    Facts.WatchesStore = Newer.WatchesStore;
     Facts.Sequence = Newer.Sequence;
   }
   if (Facts.State != Before)
--- a/Libraries/LibMembership/Roles.cpp
+++ b/Libraries/LibMembership/Roles.cpp
@@ -78,6 +78,32 @@
   return Plan;
 }
 
+bool isStoreWatcher(const MemberTable &Table, TimePoint Now) {
+  // Three hosts that fail in a row are hardly all cut off by chance, and each
+  // further attempt is a priced call.
+  constexpr std::size_t FailuresMaximum = 3;
+  const Candidate Self = candidate(Table.Self, Table.Rank);
+  std::size_t Failed = Table.Self.ReachesPlatform ? 0 : 1;
+  bool IsBest = true;
+  for (const Peer &Other : Table.Peers) {
+    if (liveness(Table, Other, Now) != Liveness::Alive ||
+        Other.Description.State == HostState::Leaving)
+      continue;
+    if (Other.Description.WatchesStore) {
+      if (!Table.Self.WatchesStore || Other.Rank > Table.Rank)
+        return false;
+      continue;
+    }
+    Failed += Other.Description.ReachesPlatform ? 0 : 1;
+    if (candidate(Other.Description, Other.Rank) < Self)
+      IsBest = false;
+  }
+  if (Table.Self.WatchesStore)
+    return true;
+  return IsBest && Table.Self.ReachesPlatform && Failed < FailuresMaximum &&
+         Table.Self.State != HostState::Leaving;
+}
+
 bool isReporter(const MemberTable &Table, TimePoint Now) {
   return Table.Self.State == HostState::Ready && Table.Self.ReachesPlatform &&
          Now - Table.Started >= Table.Settings.LostAfter &&
--- a/Libraries/LibMembership/Roles.h
+++ b/Libraries/LibMembership/Roles.h
@@ -20,6 +20,13 @@
 /// rank first; fewer when fewer are alive.
 std::vector<HostId> watchers(const MemberTable &Table, TimePoint Now);
 
+/// True when this host should follow the platform's store for the hosts of the
+/// table. A host that does so successfully keeps the role; otherwise it goes to
+/// the one of the highest rank that has not failed to reach the store. When
+/// several hosts have failed, the store is taken to be away and nobody else
+/// tries until one of them may again.
+bool isStoreWatcher(const MemberTable &Table, TimePoint Now);
+
 /// True when this host writes the report and maintains the `hosts` object.
 /// False until the host has had the time to hear the others.
 bool isReporter(const MemberTable &Table, TimePoint Now);
--- a/Libraries/LibPeer/Codec.cpp
+++ b/Libraries/LibPeer/Codec.cpp
@@ -32,13 +32,19 @@
   const auto &Set = Body.__isset;
   return Set.heartbeat + Set.document_request + Set.document_reply +
          Set.grant_request + Set.grant_reply + Set.seal_request +
-         Set.seal_reply + Set.outcome_notice + Set.crash_evidence + Set.error;
+         Set.seal_reply + Set.outcome_notice + Set.crash_evidence + Set.error +
+         Set.probe_notice + Set.domain_report + Set.join_request +
+         Set.introduction + Set.target_update;
 }
 
 bool hasOversizedList(const wire::PeerBody &Body) {
+  constexpr auto Limit = static_cast<std::size_t>(MaximumListElements);
+  if (Body.domain_report.hosts.size() > Limit ||
+      Body.introduction.hosts.size() > Limit ||
+      Body.target_update.records.size() > Limit)
+    return true;
   if (!Body.__isset.heartbeat)
     return false;
-  constexpr auto Limit = static_cast<std::size_t>(MaximumListElements);
   if (Body.heartbeat.known.size() > Limit ||
       Body.heartbeat.loads.size() > Limit)
     return true;
--- a/Libraries/LibPeer/Generated/Peer_types.cpp
+++ b/Libraries/LibPeer/Generated/Peer_types.cpp
@@ -128,6 +128,11 @@
 __isset.started_at_ms = true;
 }
 
+void HostDescription::__set_watches_store(const bool val) {
+  this->watches_store = val;
+__isset.watches_store = true;
+}
+
 uint32_t HostDescription::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
@@ -255,6 +260,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->watches_store);
+          this->__isset.watches_store = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -340,6 +353,11 @@
     xfer += oprot->writeI64(this->started_at_ms);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.watches_store) {
+    xfer += oprot->writeFieldBegin("watches_store", ::apache::thrift::protocol::T_BOOL, 13);
+    xfer += oprot->writeBool(this->watches_store);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -359,6 +377,7 @@
   swap(a.sequence, b.sequence);
   swap(a.reaches_platform, b.reaches_platform);
   swap(a.started_at_ms, b.started_at_ms);
+  swap(a.watches_store, b.watches_store);
   swap(a.__isset, b.__isset);
 }
 
@@ -375,6 +394,7 @@
   sequence = other1.sequence;
   reaches_platform = other1.reaches_platform;
   started_at_ms = other1.started_at_ms;
+  watches_store = other1.watches_store;
   __isset = other1.__isset;
 }
 HostDescription& HostDescription::operator=(const HostDescription& other2) {
@@ -390,6 +410,7 @@
   sequence = other2.sequence;
   reaches_platform = other2.reaches_platform;
   started_at_ms = other2.started_at_ms;
+  watches_store = other2.watches_store;
   __isset = other2.__isset;
   return *this;
 }
@@ -2012,66 +2033,193 @@
   return *this;
 }
 
-PeerBody::~PeerBody() noexcept {
+HostBrief::~HostBrief() noexcept {
 }
 
 
-void PeerBody::__set_heartbeat(const Heartbeat& val) {
-  this->heartbeat = val;
-__isset.heartbeat = true;
+void HostBrief::__set_host(const std::string& val) {
+  this->host = val;
 }
 
-void PeerBody::__set_document_request(const DocumentRequest& val) {
-  this->document_request = val;
-__isset.document_request = true;
+void HostBrief::__set_peer_address(const std::string& val) {
+  this->peer_address = val;
 }
 
-void PeerBody::__set_document_reply(const DocumentReply& val) {
-  this->document_reply = val;
-__isset.document_reply = true;
+void HostBrief::__set_caller_address(const std::string& val) {
+  this->caller_address = val;
 }
 
-void PeerBody::__set_grant_request(const GrantRequest& val) {
-  this->grant_request = val;
-__isset.grant_request = true;
+void HostBrief::__set_state(const HostState::type val) {
+  this->state = val;
 }
 
-void PeerBody::__set_grant_reply(const GrantReply& val) {
-  this->grant_reply = val;
-__isset.grant_reply = true;
+uint32_t HostBrief::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_host = false;
+  bool isset_peer_address = false;
+  bool isset_caller_address = false;
+  bool isset_state = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->host);
+          isset_host = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->peer_address);
+          isset_peer_address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->caller_address);
+          isset_caller_address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast52;
+          xfer += iprot->readI32(ecast52);
+          this->state = static_cast<HostState::type>(ecast52);
+          isset_state = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_host)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_peer_address)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_caller_address)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_state)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
 }
 
-void PeerBody::__set_seal_request(const SealRequest& val) {
-  this->seal_request = val;
-__isset.seal_request = true;
+uint32_t HostBrief::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("HostBrief");
+
+  xfer += oprot->writeFieldBegin("host", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->host);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("peer_address", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->peer_address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("caller_address", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->caller_address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->state));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
 }
 
-void PeerBody::__set_seal_reply(const SealReply& val) {
-  this->seal_reply = val;
-__isset.seal_reply = true;
+void swap(HostBrief &a, HostBrief &b) {
+  using ::std::swap;
+  swap(a.host, b.host);
+  swap(a.peer_address, b.peer_address);
+  swap(a.caller_address, b.caller_address);
+  swap(a.state, b.state);
 }
 
-void PeerBody::__set_outcome_notice(const OutcomeNotice& val) {
-  this->outcome_notice = val;
-__isset.outcome_notice = true;
+HostBrief::HostBrief(const HostBrief& other53) {
+  host = other53.host;
+  peer_address = other53.peer_address;
+  caller_address = other53.caller_address;
+  state = other53.state;
+}
+HostBrief& HostBrief::operator=(const HostBrief& other54) {
+  host = other54.host;
+  peer_address = other54.peer_address;
+  caller_address = other54.caller_address;
+  state = other54.state;
+  return *this;
 }
 
-void PeerBody::__set_crash_evidence(const CrashEvidence& val) {
-  this->crash_evidence = val;
-__isset.crash_evidence = true;
+DomainReport::~DomainReport() noexcept {
 }
 
-void PeerBody::__set_error(const ErrorReply& val) {
-  this->error = val;
-__isset.error = true;
+
+void DomainReport::__set_failure_domain(const std::string& val) {
+  this->failure_domain = val;
 }
 
-void PeerBody::__set_probe_notice(const ProbeNotice& val) {
-  this->probe_notice = val;
-__isset.probe_notice = true;
+void DomainReport::__set_digest(const int64_t val) {
+  this->digest = val;
 }
 
-uint32_t PeerBody::read(::apache::thrift::protocol::TProtocol* iprot) {
+void DomainReport::__set_manifest_number(const int64_t val) {
+  this->manifest_number = val;
+}
+
+void DomainReport::__set_targets_revision(const int64_t val) {
+  this->targets_revision = val;
+}
+
+void DomainReport::__set_hosts(const std::vector<HostBrief> & val) {
+  this->hosts = val;
+__isset.hosts = true;
+}
+
+void DomainReport::__set_relayed(const bool val) {
+  this->relayed = val;
+__isset.relayed = true;
+}
+
+void DomainReport::__set_wants_hosts(const bool val) {
+  this->wants_hosts = val;
+__isset.wants_hosts = true;
+}
+
+void DomainReport::__set_peer_address(const std::string& val) {
+  this->peer_address = val;
+}
+
+uint32_t DomainReport::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -2083,6 +2231,11 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
+  bool isset_failure_domain = false;
+  bool isset_digest = false;
+  bool isset_manifest_number = false;
+  bool isset_targets_revision = false;
+  bool isset_peer_address = false;
 
   while (true)
   {
@@ -2093,89 +2246,77 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->heartbeat.read(iprot);
-          this->__isset.heartbeat = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->failure_domain);
+          isset_failure_domain = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->document_request.read(iprot);
-          this->__isset.document_request = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->digest);
+          isset_digest = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->document_reply.read(iprot);
-          this->__isset.document_reply = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->manifest_number);
+          isset_manifest_number = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->grant_request.read(iprot);
-          this->__isset.grant_request = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->targets_revision);
+          isset_targets_revision = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->grant_reply.read(iprot);
-          this->__isset.grant_reply = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->hosts.clear();
+            uint32_t _size55;
+            ::apache::thrift::protocol::TType _etype58;
+            xfer += iprot->readListBegin(_etype58, _size55);
+            this->hosts.resize(_size55);
+            uint32_t _i59;
+            for (_i59 = 0; _i59 < _size55; ++_i59)
+            {
+              xfer += this->hosts[_i59].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.hosts = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 6:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->seal_request.read(iprot);
-          this->__isset.seal_request = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->relayed);
+          this->__isset.relayed = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 7:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->seal_reply.read(iprot);
-          this->__isset.seal_reply = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->wants_hosts);
+          this->__isset.wants_hosts = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 8:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->outcome_notice.read(iprot);
-          this->__isset.outcome_notice = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 9:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->crash_evidence.read(iprot);
-          this->__isset.crash_evidence = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 10:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->error.read(iprot);
-          this->__isset.error = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 11:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->probe_notice.read(iprot);
-          this->__isset.probe_notice = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->peer_address);
+          isset_peer_address = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2189,27 +2330,930 @@
 
   xfer += iprot->readStructEnd();
 
+  if (!isset_failure_domain)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_digest)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_manifest_number)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_targets_revision)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_peer_address)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
-uint32_t PeerBody::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t DomainReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("PeerBody");
+  xfer += oprot->writeStructBegin("DomainReport");
 
-  if (this->__isset.heartbeat) {
-    xfer += oprot->writeFieldBegin("heartbeat", ::apache::thrift::protocol::T_STRUCT, 1);
-    xfer += this->heartbeat.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.document_request) {
-    xfer += oprot->writeFieldBegin("document_request", ::apache::thrift::protocol::T_STRUCT, 2);
-    xfer += this->document_request.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.document_reply) {
-    xfer += oprot->writeFieldBegin("document_reply", ::apache::thrift::protocol::T_STRUCT, 3);
-    xfer += this->document_reply.write(oprot);
+  xfer += oprot->writeFieldBegin("failure_domain", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->failure_domain);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->digest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("manifest_number", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->manifest_number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("targets_revision", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->targets_revision);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.hosts) {
+    xfer += oprot->writeFieldBegin("hosts", ::apache::thrift::protocol::T_LIST, 5);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->hosts.size()));
+      std::vector<HostBrief> ::const_iterator _iter60;
+      for (_iter60 = this->hosts.begin(); _iter60 != this->hosts.end(); ++_iter60)
+      {
+        xfer += (*_iter60).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.relayed) {
+    xfer += oprot->writeFieldBegin("relayed", ::apache::thrift::protocol::T_BOOL, 6);
+    xfer += oprot->writeBool(this->relayed);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.wants_hosts) {
+    xfer += oprot->writeFieldBegin("wants_hosts", ::apache::thrift::protocol::T_BOOL, 7);
+    xfer += oprot->writeBool(this->wants_hosts);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("peer_address", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->peer_address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(DomainReport &a, DomainReport &b) {
+  using ::std::swap;
+  swap(a.failure_domain, b.failure_domain);
+  swap(a.digest, b.digest);
+  swap(a.manifest_number, b.manifest_number);
+  swap(a.targets_revision, b.targets_revision);
+  swap(a.hosts, b.hosts);
+  swap(a.relayed, b.relayed);
+  swap(a.wants_hosts, b.wants_hosts);
+  swap(a.peer_address, b.peer_address);
+  swap(a.__isset, b.__isset);
+}
+
+DomainReport::DomainReport(const DomainReport& other61) {
+  failure_domain = other61.failure_domain;
+  digest = other61.digest;
+  manifest_number = other61.manifest_number;
+  targets_revision = other61.targets_revision;
+  hosts = other61.hosts;
+  relayed = other61.relayed;
+  wants_hosts = other61.wants_hosts;
+  peer_address = other61.peer_address;
+  __isset = other61.__isset;
+}
+DomainReport& DomainReport::operator=(const DomainReport& other62) {
+  failure_domain = other62.failure_domain;
+  digest = other62.digest;
+  manifest_number = other62.manifest_number;
+  targets_revision = other62.targets_revision;
+  hosts = other62.hosts;
+  relayed = other62.relayed;
+  wants_hosts = other62.wants_hosts;
+  peer_address = other62.peer_address;
+  __isset = other62.__isset;
+  return *this;
+}
+
+JoinRequest::~JoinRequest() noexcept {
+}
+
+
+void JoinRequest::__set_sender(const HostDescription& val) {
+  this->sender = val;
+}
+
+uint32_t JoinRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_sender = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->sender.read(iprot);
+          isset_sender = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_sender)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t JoinRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("JoinRequest");
+
+  xfer += oprot->writeFieldBegin("sender", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->sender.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(JoinRequest &a, JoinRequest &b) {
+  using ::std::swap;
+  swap(a.sender, b.sender);
+}
+
+JoinRequest::JoinRequest(const JoinRequest& other63) {
+  sender = other63.sender;
+}
+JoinRequest& JoinRequest::operator=(const JoinRequest& other64) {
+  sender = other64.sender;
+  return *this;
+}
+
+Introduction::~Introduction() noexcept {
+}
+
+
+void Introduction::__set_hosts(const std::vector<HostDescription> & val) {
+  this->hosts = val;
+}
+
+uint32_t Introduction::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_hosts = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->hosts.clear();
+            uint32_t _size65;
+            ::apache::thrift::protocol::TType _etype68;
+            xfer += iprot->readListBegin(_etype68, _size65);
+            this->hosts.resize(_size65);
+            uint32_t _i69;
+            for (_i69 = 0; _i69 < _size65; ++_i69)
+            {
+              xfer += this->hosts[_i69].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_hosts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_hosts)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t Introduction::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Introduction");
+
+  xfer += oprot->writeFieldBegin("hosts", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->hosts.size()));
+    std::vector<HostDescription> ::const_iterator _iter70;
+    for (_iter70 = this->hosts.begin(); _iter70 != this->hosts.end(); ++_iter70)
+    {
+      xfer += (*_iter70).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Introduction &a, Introduction &b) {
+  using ::std::swap;
+  swap(a.hosts, b.hosts);
+}
+
+Introduction::Introduction(const Introduction& other71) {
+  hosts = other71.hosts;
+}
+Introduction& Introduction::operator=(const Introduction& other72) {
+  hosts = other72.hosts;
+  return *this;
+}
+
+TargetRecord::~TargetRecord() noexcept {
+}
+
+
+void TargetRecord::__set_target(const std::string& val) {
+  this->target = val;
+}
+
+void TargetRecord::__set_gone(const bool val) {
+  this->gone = val;
+__isset.gone = true;
+}
+
+void TargetRecord::__set_service_name(const std::string& val) {
+  this->service_name = val;
+__isset.service_name = true;
+}
+
+void TargetRecord::__set_address(const std::string& val) {
+  this->address = val;
+__isset.address = true;
+}
+
+void TargetRecord::__set_failure_domain(const std::string& val) {
+  this->failure_domain = val;
+__isset.failure_domain = true;
+}
+
+void TargetRecord::__set_slots(const int32_t val) {
+  this->slots = val;
+__isset.slots = true;
+}
+
+void TargetRecord::__set_draining(const bool val) {
+  this->draining = val;
+__isset.draining = true;
+}
+
+void TargetRecord::__set_cold_ms(const int64_t val) {
+  this->cold_ms = val;
+__isset.cold_ms = true;
+}
+
+void TargetRecord::__set_started_at_ms(const int64_t val) {
+  this->started_at_ms = val;
+__isset.started_at_ms = true;
+}
+
+uint32_t TargetRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_target = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->target);
+          isset_target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->gone);
+          this->__isset.gone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->service_name);
+          this->__isset.service_name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->failure_domain);
+          this->__isset.failure_domain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->slots);
+          this->__isset.slots = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->draining);
+          this->__isset.draining = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->cold_ms);
+          this->__isset.cold_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->started_at_ms);
+          this->__isset.started_at_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_target)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t TargetRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TargetRecord");
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->target);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.gone) {
+    xfer += oprot->writeFieldBegin("gone", ::apache::thrift::protocol::T_BOOL, 2);
+    xfer += oprot->writeBool(this->gone);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.service_name) {
+    xfer += oprot->writeFieldBegin("service_name", ::apache::thrift::protocol::T_STRING, 3);
+    xfer += oprot->writeString(this->service_name);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.address) {
+    xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 4);
+    xfer += oprot->writeString(this->address);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.failure_domain) {
+    xfer += oprot->writeFieldBegin("failure_domain", ::apache::thrift::protocol::T_STRING, 5);
+    xfer += oprot->writeString(this->failure_domain);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.slots) {
+    xfer += oprot->writeFieldBegin("slots", ::apache::thrift::protocol::T_I32, 6);
+    xfer += oprot->writeI32(this->slots);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.draining) {
+    xfer += oprot->writeFieldBegin("draining", ::apache::thrift::protocol::T_BOOL, 7);
+    xfer += oprot->writeBool(this->draining);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.cold_ms) {
+    xfer += oprot->writeFieldBegin("cold_ms", ::apache::thrift::protocol::T_I64, 8);
+    xfer += oprot->writeI64(this->cold_ms);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.started_at_ms) {
+    xfer += oprot->writeFieldBegin("started_at_ms", ::apache::thrift::protocol::T_I64, 9);
+    xfer += oprot->writeI64(this->started_at_ms);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TargetRecord &a, TargetRecord &b) {
+  using ::std::swap;
+  swap(a.target, b.target);
+  swap(a.gone, b.gone);
+  swap(a.service_name, b.service_name);
+  swap(a.address, b.address);
+  swap(a.failure_domain, b.failure_domain);
+  swap(a.slots, b.slots);
+  swap(a.draining, b.draining);
+  swap(a.cold_ms, b.cold_ms);
+  swap(a.started_at_ms, b.started_at_ms);
+  swap(a.__isset, b.__isset);
+}
+
+TargetRecord::TargetRecord(const TargetRecord& other73) {
+  target = other73.target;
+  gone = other73.gone;
+  service_name = other73.service_name;
+  address = other73.address;
+  failure_domain = other73.failure_domain;
+  slots = other73.slots;
+  draining = other73.draining;
+  cold_ms = other73.cold_ms;
+  started_at_ms = other73.started_at_ms;
+  __isset = other73.__isset;
+}
+TargetRecord& TargetRecord::operator=(const TargetRecord& other74) {
+  target = other74.target;
+  gone = other74.gone;
+  service_name = other74.service_name;
+  address = other74.address;
+  failure_domain = other74.failure_domain;
+  slots = other74.slots;
+  draining = other74.draining;
+  cold_ms = other74.cold_ms;
+  started_at_ms = other74.started_at_ms;
+  __isset = other74.__isset;
+  return *this;
+}
+
+TargetUpdate::~TargetUpdate() noexcept {
+}
+
+
+void TargetUpdate::__set_base_revision(const int64_t val) {
+  this->base_revision = val;
+}
+
+void TargetUpdate::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void TargetUpdate::__set_records(const std::vector<TargetRecord> & val) {
+  this->records = val;
+}
+
+uint32_t TargetUpdate::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_base_revision = false;
+  bool isset_revision = false;
+  bool isset_records = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->base_revision);
+          isset_base_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          isset_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->records.clear();
+            uint32_t _size75;
+            ::apache::thrift::protocol::TType _etype78;
+            xfer += iprot->readListBegin(_etype78, _size75);
+            this->records.resize(_size75);
+            uint32_t _i79;
+            for (_i79 = 0; _i79 < _size75; ++_i79)
+            {
+              xfer += this->records[_i79].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_records = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_base_revision)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_revision)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_records)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t TargetUpdate::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TargetUpdate");
+
+  xfer += oprot->writeFieldBegin("base_revision", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->base_revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
+    std::vector<TargetRecord> ::const_iterator _iter80;
+    for (_iter80 = this->records.begin(); _iter80 != this->records.end(); ++_iter80)
+    {
+      xfer += (*_iter80).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TargetUpdate &a, TargetUpdate &b) {
+  using ::std::swap;
+  swap(a.base_revision, b.base_revision);
+  swap(a.revision, b.revision);
+  swap(a.records, b.records);
+}
+
+TargetUpdate::TargetUpdate(const TargetUpdate& other81) {
+  base_revision = other81.base_revision;
+  revision = other81.revision;
+  records = other81.records;
+}
+TargetUpdate& TargetUpdate::operator=(const TargetUpdate& other82) {
+  base_revision = other82.base_revision;
+  revision = other82.revision;
+  records = other82.records;
+  return *this;
+}
+
+PeerBody::~PeerBody() noexcept {
+}
+
+
+void PeerBody::__set_heartbeat(const Heartbeat& val) {
+  this->heartbeat = val;
+__isset.heartbeat = true;
+}
+
+void PeerBody::__set_document_request(const DocumentRequest& val) {
+  this->document_request = val;
+__isset.document_request = true;
+}
+
+void PeerBody::__set_document_reply(const DocumentReply& val) {
+  this->document_reply = val;
+__isset.document_reply = true;
+}
+
+void PeerBody::__set_grant_request(const GrantRequest& val) {
+  this->grant_request = val;
+__isset.grant_request = true;
+}
+
+void PeerBody::__set_grant_reply(const GrantReply& val) {
+  this->grant_reply = val;
+__isset.grant_reply = true;
+}
+
+void PeerBody::__set_seal_request(const SealRequest& val) {
+  this->seal_request = val;
+__isset.seal_request = true;
+}
+
+void PeerBody::__set_seal_reply(const SealReply& val) {
+  this->seal_reply = val;
+__isset.seal_reply = true;
+}
+
+void PeerBody::__set_outcome_notice(const OutcomeNotice& val) {
+  this->outcome_notice = val;
+__isset.outcome_notice = true;
+}
+
+void PeerBody::__set_crash_evidence(const CrashEvidence& val) {
+  this->crash_evidence = val;
+__isset.crash_evidence = true;
+}
+
+void PeerBody::__set_error(const ErrorReply& val) {
+  this->error = val;
+__isset.error = true;
+}
+
+void PeerBody::__set_probe_notice(const ProbeNotice& val) {
+  this->probe_notice = val;
+__isset.probe_notice = true;
+}
+
+void PeerBody::__set_domain_report(const DomainReport& val) {
+  this->domain_report = val;
+__isset.domain_report = true;
+}
+
+void PeerBody::__set_join_request(const JoinRequest& val) {
+  this->join_request = val;
+__isset.join_request = true;
+}
+
+void PeerBody::__set_introduction(const Introduction& val) {
+  this->introduction = val;
+__isset.introduction = true;
+}
+
+void PeerBody::__set_target_update(const TargetUpdate& val) {
+  this->target_update = val;
+__isset.target_update = true;
+}
+
+uint32_t PeerBody::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->heartbeat.read(iprot);
+          this->__isset.heartbeat = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->document_request.read(iprot);
+          this->__isset.document_request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->document_reply.read(iprot);
+          this->__isset.document_reply = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->grant_request.read(iprot);
+          this->__isset.grant_request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->grant_reply.read(iprot);
+          this->__isset.grant_reply = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->seal_request.read(iprot);
+          this->__isset.seal_request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->seal_reply.read(iprot);
+          this->__isset.seal_reply = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->outcome_notice.read(iprot);
+          this->__isset.outcome_notice = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->crash_evidence.read(iprot);
+          this->__isset.crash_evidence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->error.read(iprot);
+          this->__isset.error = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->probe_notice.read(iprot);
+          this->__isset.probe_notice = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->domain_report.read(iprot);
+          this->__isset.domain_report = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->join_request.read(iprot);
+          this->__isset.join_request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->introduction.read(iprot);
+          this->__isset.introduction = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->target_update.read(iprot);
+          this->__isset.target_update = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PeerBody::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PeerBody");
+
+  if (this->__isset.heartbeat) {
+    xfer += oprot->writeFieldBegin("heartbeat", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->heartbeat.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.document_request) {
+    xfer += oprot->writeFieldBegin("document_request", ::apache::thrift::protocol::T_STRUCT, 2);
+    xfer += this->document_request.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.document_reply) {
+    xfer += oprot->writeFieldBegin("document_reply", ::apache::thrift::protocol::T_STRUCT, 3);
+    xfer += this->document_reply.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
   if (this->__isset.grant_request) {
@@ -2252,6 +3296,26 @@
     xfer += this->probe_notice.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.domain_report) {
+    xfer += oprot->writeFieldBegin("domain_report", ::apache::thrift::protocol::T_STRUCT, 12);
+    xfer += this->domain_report.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.join_request) {
+    xfer += oprot->writeFieldBegin("join_request", ::apache::thrift::protocol::T_STRUCT, 13);
+    xfer += this->join_request.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.introduction) {
+    xfer += oprot->writeFieldBegin("introduction", ::apache::thrift::protocol::T_STRUCT, 14);
+    xfer += this->introduction.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.target_update) {
+    xfer += oprot->writeFieldBegin("target_update", ::apache::thrift::protocol::T_STRUCT, 15);
+    xfer += this->target_update.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2270,36 +3334,48 @@
   swap(a.crash_evidence, b.crash_evidence);
   swap(a.error, b.error);
   swap(a.probe_notice, b.probe_notice);
+  swap(a.domain_report, b.domain_report);
+  swap(a.join_request, b.join_request);
+  swap(a.introduction, b.introduction);
+  swap(a.target_update, b.target_update);
   swap(a.__isset, b.__isset);
 }
 
-PeerBody::PeerBody(const PeerBody& other52) {
-  heartbeat = other52.heartbeat;
-  document_request = other52.document_request;
-  document_reply = other52.document_reply;
-  grant_request = other52.grant_request;
-  grant_reply = other52.grant_reply;
-  seal_request = other52.seal_request;
-  seal_reply = other52.seal_reply;
-  outcome_notice = other52.outcome_notice;
-  crash_evidence = other52.crash_evidence;
-  error = other52.error;
-  probe_notice = other52.probe_notice;
-  __isset = other52.__isset;
-}
-PeerBody& PeerBody::operator=(const PeerBody& other53) {
-  heartbeat = other53.heartbeat;
-  document_request = other53.document_request;
-  document_reply = other53.document_reply;
-  grant_request = other53.grant_request;
-  grant_reply = other53.grant_reply;
-  seal_request = other53.seal_request;
-  seal_reply = other53.seal_reply;
-  outcome_notice = other53.outcome_notice;
-  crash_evidence = other53.crash_evidence;
-  error = other53.error;
-  probe_notice = other53.probe_notice;
-  __isset = other53.__isset;
+PeerBody::PeerBody(const PeerBody& other83) {
+  heartbeat = other83.heartbeat;
+  document_request = other83.document_request;
+  document_reply = other83.document_reply;
+  grant_request = other83.grant_request;
+  grant_reply = other83.grant_reply;
+  seal_request = other83.seal_request;
+  seal_reply = other83.seal_reply;
+  outcome_notice = other83.outcome_notice;
+  crash_evidence = other83.crash_evidence;
+  error = other83.error;
+  probe_notice = other83.probe_notice;
+  domain_report = other83.domain_report;
+  join_request = other83.join_request;
+  introduction = other83.introduction;
+  target_update = other83.target_update;
+  __isset = other83.__isset;
+}
+PeerBody& PeerBody::operator=(const PeerBody& other84) {
+  heartbeat = other84.heartbeat;
+  document_request = other84.document_request;
+  document_reply = other84.document_reply;
+  grant_request = other84.grant_request;
+  grant_reply = other84.grant_reply;
+  seal_request = other84.seal_request;
+  seal_reply = other84.seal_reply;
+  outcome_notice = other84.outcome_notice;
+  crash_evidence = other84.crash_evidence;
+  error = other84.error;
+  probe_notice = other84.probe_notice;
+  domain_report = other84.domain_report;
+  join_request = other84.join_request;
+  introduction = other84.introduction;
+  target_update = other84.target_update;
+  __isset = other84.__isset;
   return *this;
 }
 
@@ -2394,13 +3470,13 @@
   swap(a.body, b.body);
 }
 
-PeerMessage::PeerMessage(const PeerMessage& other54) {
-  correlation = other54.correlation;
-  body = other54.body;
+PeerMessage::PeerMessage(const PeerMessage& other85) {
+  correlation = other85.correlation;
+  body = other85.body;
 }
-PeerMessage& PeerMessage::operator=(const PeerMessage& other55) {
-  correlation = other55.correlation;
-  body = other55.body;
+PeerMessage& PeerMessage::operator=(const PeerMessage& other86) {
+  correlation = other86.correlation;
+  body = other86.body;
   return *this;
 }
 }} // namespace
--- a/Libraries/LibPeer/Generated/Peer_types.h
+++ b/Libraries/LibPeer/Generated/Peer_types.h
@@ -112,16 +112,29 @@
 
 class ErrorReply;
 
+class HostBrief;
+
+class DomainReport;
+
+class JoinRequest;
+
+class Introduction;
+
+class TargetRecord;
+
+class TargetUpdate;
+
 class PeerBody;
 
 class PeerMessage;
 
 typedef struct _HostDescription__isset {
-  _HostDescription__isset() : fleet_version(false), sequence(false), reaches_platform(false), started_at_ms(false) {}
+  _HostDescription__isset() : fleet_version(false), sequence(false), reaches_platform(false), started_at_ms(false), watches_store(false) {}
   bool fleet_version :1;
   bool sequence :1;
   bool reaches_platform :1;
   bool started_at_ms :1;
+  bool watches_store :1;
 } _HostDescription__isset;
 
 class HostDescription : public virtual ::apache::thrift::TBase {
@@ -141,7 +154,8 @@
                     fleet_version(0),
                     sequence(0),
                     reaches_platform(0),
-                    started_at_ms(0) {
+                    started_at_ms(0),
+                    watches_store(0) {
   }
 
   virtual ~HostDescription() noexcept;
@@ -161,6 +175,7 @@
   int64_t sequence;
   bool reaches_platform;
   int64_t started_at_ms;
+  bool watches_store;
 
   _HostDescription__isset __isset;
 
@@ -188,6 +203,8 @@
 
   void __set_started_at_ms(const int64_t val);
 
+  void __set_watches_store(const bool val);
+
   bool operator == (const HostDescription & rhs) const
   {
     if (!(host == rhs.host))
@@ -222,6 +239,10 @@
       return false;
     else if (__isset.started_at_ms && !(started_at_ms == rhs.started_at_ms))
       return false;
+    if (__isset.watches_store != rhs.__isset.watches_store)
+      return false;
+    else if (__isset.watches_store && !(watches_store == rhs.watches_store))
+      return false;
     return true;
   }
   bool operator != (const HostDescription &rhs) const {
@@ -907,8 +928,387 @@
 
 std::ostream& operator<<(std::ostream& out, const ErrorReply& obj);
 
+
+class HostBrief : public virtual ::apache::thrift::TBase {
+ public:
+
+  HostBrief(const HostBrief&);
+  HostBrief& operator=(const HostBrief&);
+  HostBrief() noexcept
+            : host(),
+              peer_address(),
+              caller_address(),
+              state(static_cast<HostState::type>(0)) {
+  }
+
+  virtual ~HostBrief() noexcept;
+  std::string host;
+  std::string peer_address;
+  std::string caller_address;
+  /**
+   * 
+   * @see HostState
+   */
+  HostState::type state;
+
+  void __set_host(const std::string& val);
+
+  void __set_peer_address(const std::string& val);
+
+  void __set_caller_address(const std::string& val);
+
+  void __set_state(const HostState::type val);
+
+  bool operator == (const HostBrief & rhs) const
+  {
+    if (!(host == rhs.host))
+      return false;
+    if (!(peer_address == rhs.peer_address))
+      return false;
+    if (!(caller_address == rhs.caller_address))
+      return false;
+    if (!(state == rhs.state))
+      return false;
+    return true;
+  }
+  bool operator != (const HostBrief &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const HostBrief & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+};
+
+void swap(HostBrief &a, HostBrief &b);
+
+std::ostream& operator<<(std::ostream& out, const HostBrief& obj);
+
+typedef struct _DomainReport__isset {
+  _DomainReport__isset() : hosts(false), relayed(false), wants_hosts(false) {}
+  bool hosts :1;
+  bool relayed :1;
+  bool wants_hosts :1;
+} _DomainReport__isset;
+
+class DomainReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  DomainReport(const DomainReport&);
+  DomainReport& operator=(const DomainReport&);
+  DomainReport() noexcept
+               : failure_domain(),
+                 digest(0),
+                 manifest_number(0),
+                 targets_revision(0),
+                 relayed(0),
+                 wants_hosts(0),
+                 peer_address() {
+  }
+
+  virtual ~DomainReport() noexcept;
+  std::string failure_domain;
+  int64_t digest;
+  int64_t manifest_number;
+  int64_t targets_revision;
+  std::vector<HostBrief>  hosts;
+  bool relayed;
+  bool wants_hosts;
+  std::string peer_address;
+
+  _DomainReport__isset __isset;
+
+  void __set_failure_domain(const std::string& val);
+
+  void __set_digest(const int64_t val);
+
+  void __set_manifest_number(const int64_t val);
+
+  void __set_targets_revision(const int64_t val);
+
+  void __set_hosts(const std::vector<HostBrief> & val);
+
+  void __set_relayed(const bool val);
+
+  void __set_wants_hosts(const bool val);
+
+  void __set_peer_address(const std::string& val);
+
+  bool operator == (const DomainReport & rhs) const
+  {
+    if (!(failure_domain == rhs.failure_domain))
+      return false;
+    if (!(digest == rhs.digest))
+      return false;
+    if (!(manifest_number == rhs.manifest_number))
+      return false;
+    if (!(targets_revision == rhs.targets_revision))
+      return false;
+    if (__isset.hosts != rhs.__isset.hosts)
+      return false;
+    else if (__isset.hosts && !(hosts == rhs.hosts))
+      return false;
+    if (__isset.relayed != rhs.__isset.relayed)
+      return false;
+    else if (__isset.relayed && !(relayed == rhs.relayed))
+      return false;
+    if (__isset.wants_hosts != rhs.__isset.wants_hosts)
+      return false;
+    else if (__isset.wants_hosts && !(wants_hosts == rhs.wants_hosts))
+      return false;
+    if (!(peer_address == rhs.peer_address))
+      return false;
+    return true;
+  }
+  bool operator != (const DomainReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const DomainReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+};
+
+void swap(DomainReport &a, DomainReport &b);
+
+std::ostream& operator<<(std::ostream& out, const DomainReport& obj);
+
+
+class JoinRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  JoinRequest(const JoinRequest&);
+  JoinRequest& operator=(const JoinRequest&);
+  JoinRequest() noexcept {
+  }
+
+  virtual ~JoinRequest() noexcept;
+  HostDescription sender;
+
+  void __set_sender(const HostDescription& val);
+
+  bool operator == (const JoinRequest & rhs) const
+  {
+    if (!(sender == rhs.sender))
+      return false;
+    return true;
+  }
+  bool operator != (const JoinRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const JoinRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+};
+
+void swap(JoinRequest &a, JoinRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const JoinRequest& obj);
+
+
+class Introduction : public virtual ::apache::thrift::TBase {
+ public:
+
+  Introduction(const Introduction&);
+  Introduction& operator=(const Introduction&);
+  Introduction() noexcept {
+  }
+
+  virtual ~Introduction() noexcept;
+  std::vector<HostDescription>  hosts;
+
+  void __set_hosts(const std::vector<HostDescription> & val);
+
+  bool operator == (const Introduction & rhs) const
+  {
+    if (!(hosts == rhs.hosts))
+      return false;
+    return true;
+  }
+  bool operator != (const Introduction &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Introduction & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+};
+
+void swap(Introduction &a, Introduction &b);
+
+std::ostream& operator<<(std::ostream& out, const Introduction& obj);
+
+typedef struct _TargetRecord__isset {
+  _TargetRecord__isset() : gone(false), service_name(false), address(false), failure_domain(false), slots(false), draining(false), cold_ms(false), started_at_ms(false) {}
+  bool gone :1;
+  bool service_name :1;
+  bool address :1;
+  bool failure_domain :1;
+  bool slots :1;
+  bool draining :1;
+  bool cold_ms :1;
+  bool started_at_ms :1;
+} _TargetRecord__isset;
+
+class TargetRecord : public virtual ::apache::thrift::TBase {
+ public:
+
+  TargetRecord(const TargetRecord&);
+  TargetRecord& operator=(const TargetRecord&);
+  TargetRecord() noexcept
+               : target(),
+                 gone(0),
+                 service_name(),
+                 address(),
+                 failure_domain(),
+                 slots(0),
+                 draining(0),
+                 cold_ms(0),
+                 started_at_ms(0) {
+  }
+
+  virtual ~TargetRecord() noexcept;
+  std::string target;
+  bool gone;
+  std::string service_name;
+  std::string address;
+  std::string failure_domain;
+  int32_t slots;
+  bool draining;
+  int64_t cold_ms;
+  int64_t started_at_ms;
+
+  _TargetRecord__isset __isset;
+
+  void __set_target(const std::string& val);
+
+  void __set_gone(const bool val);
+
+  void __set_service_name(const std::string& val);
+
+  void __set_address(const std::string& val);
+
+  void __set_failure_domain(const std::string& val);
+
+  void __set_slots(const int32_t val);
+
+  void __set_draining(const bool val);
+
+  void __set_cold_ms(const int64_t val);
+
+  void __set_started_at_ms(const int64_t val);
+
+  bool operator == (const TargetRecord & rhs) const
+  {
+    if (!(target == rhs.target))
+      return false;
+    if (__isset.gone != rhs.__isset.gone)
+      return false;
+    else if (__isset.gone && !(gone == rhs.gone))
+      return false;
+    if (__isset.service_name != rhs.__isset.service_name)
+      return false;
+    else if (__isset.service_name && !(service_name == rhs.service_name))
+      return false;
+    if (__isset.address != rhs.__isset.address)
+      return false;
+    else if (__isset.address && !(address == rhs.address))
+      return false;
+    if (__isset.failure_domain != rhs.__isset.failure_domain)
+      return false;
+    else if (__isset.failure_domain && !(failure_domain == rhs.failure_domain))
+      return false;
+    if (__isset.slots != rhs.__isset.slots)
+      return false;
+    else if (__isset.slots && !(slots == rhs.slots))
+      return false;
+    if (__isset.draining != rhs.__isset.draining)
+      return false;
+    else if (__isset.draining && !(draining == rhs.draining))
+      return false;
+    if (__isset.cold_ms != rhs.__isset.cold_ms)
+      return false;
+    else if (__isset.cold_ms && !(cold_ms == rhs.cold_ms))
+      return false;
+    if (__isset.started_at_ms != rhs.__isset.started_at_ms)
+      return false;
+    else if (__isset.started_at_ms && !(started_at_ms == rhs.started_at_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const TargetRecord &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TargetRecord & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+};
+
+void swap(TargetRecord &a, TargetRecord &b);
+
+std::ostream& operator<<(std::ostream& out, const TargetRecord& obj);
+
+
+class TargetUpdate : public virtual ::apache::thrift::TBase {
+ public:
+
+  TargetUpdate(const TargetUpdate&);
+  TargetUpdate& operator=(const TargetUpdate&);
+  TargetUpdate() noexcept
+               : base_revision(0),
+                 revision(0) {
+  }
+
+  virtual ~TargetUpdate() noexcept;
+  int64_t base_revision;
+  int64_t revision;
+  std::vector<TargetRecord>  records;
+
+  void __set_base_revision(const int64_t val);
+
+  void __set_revision(const int64_t val);
+
+  void __set_records(const std::vector<TargetRecord> & val);
+
+  bool operator == (const TargetUpdate & rhs) const
+  {
+    if (!(base_revision == rhs.base_revision))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(records == rhs.records))
+      return false;
+    return true;
+  }
+  bool operator != (const TargetUpdate &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TargetUpdate & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+};
+
+void swap(TargetUpdate &a, TargetUpdate &b);
+
+std::ostream& operator<<(std::ostream& out, const TargetUpdate& obj);
+
 typedef struct _PeerBody__isset {
-  _PeerBody__isset() : heartbeat(false), document_request(false), document_reply(false), grant_request(false), grant_reply(false), seal_request(false), seal_reply(false), outcome_notice(false), crash_evidence(false), error(false), probe_notice(false) {}
+  _PeerBody__isset() : heartbeat(false), document_request(false), document_reply(false), grant_request(false), grant_reply(false), seal_request(false), seal_reply(false), outcome_notice(false), crash_evidence(false), error(false), probe_notice(false), domain_report(false), join_request(false), introduction(false), target_update(false) {}
   bool heartbeat :1;
   bool document_request :1;
   bool document_reply :1;
@@ -920,6 +1320,10 @@
   bool crash_evidence :1;
   bool error :1;
   bool probe_notice :1;
+  bool domain_report :1;
+  bool join_request :1;
+  bool introduction :1;
+  bool target_update :1;
 } _PeerBody__isset;
 
 class PeerBody : public virtual ::apache::thrift::TBase {
@@ -942,6 +1346,10 @@
   CrashEvidence crash_evidence;
   ErrorReply error;
   ProbeNotice probe_notice;
+  DomainReport domain_report;
+  JoinRequest join_request;
+  Introduction introduction;
+  TargetUpdate target_update;
 
   _PeerBody__isset __isset;
 
@@ -967,6 +1375,14 @@
 
   void __set_probe_notice(const ProbeNotice& val);
 
+  void __set_domain_report(const DomainReport& val);
+
+  void __set_join_request(const JoinRequest& val);
+
+  void __set_introduction(const Introduction& val);
+
+  void __set_target_update(const TargetUpdate& val);
+
   bool operator == (const PeerBody & rhs) const
   {
     if (__isset.heartbeat != rhs.__isset.heartbeat)
@@ -1013,6 +1429,22 @@
       return false;
     else if (__isset.probe_notice && !(probe_notice == rhs.probe_notice))
       return false;
+    if (__isset.domain_report != rhs.__isset.domain_report)
+      return false;
+    else if (__isset.domain_report && !(domain_report == rhs.domain_report))
+      return false;
+    if (__isset.join_request != rhs.__isset.join_request)
+      return false;
+    else if (__isset.join_request && !(join_request == rhs.join_request))
+      return false;
+    if (__isset.introduction != rhs.__isset.introduction)
+      return false;
+    else if (__isset.introduction && !(introduction == rhs.introduction))
+      return false;
+    if (__isset.target_update != rhs.__isset.target_update)
+      return false;
+    else if (__isset.target_update && !(target_update == rhs.target_update))
+      return false;
     return true;
   }
   bool operator != (const PeerBody &rhs) const {
--- a/Libraries/LibPeer/HeartbeatConversion.cpp
+++ b/Libraries/LibPeer/HeartbeatConversion.cpp
@@ -34,6 +34,14 @@
   }
 }
 
+Result<Endpoint> optionalEndpoint(const std::string &Text) {
+  if (Text.empty())
+    return Endpoint{};
+  return parseEndpoint(Text);
+}
+
+} // namespace
+
 wire::HostDescription toWire(const HostDescription &Host) {
   wire::HostDescription Result;
   Result.host = Host.Host.Value;
@@ -48,17 +56,13 @@
     Result.__set_fleet_version(static_cast<std::int64_t>(Host.FleetVersion));
   if (!Host.ReachesPlatform)
     Result.__set_reaches_platform(false);
+  if (Host.WatchesStore)
+    Result.__set_watches_store(true);
   if (Host.isComplete())
     Result.__set_started_at_ms(Host.StartedAt.count());
   return Result;
 }
 
-Result<Endpoint> optionalEndpoint(const std::string &Text) {
-  if (Text.empty())
-    return Endpoint{};
-  return parseEndpoint(Text);
-}
-
 Result<HostDescription> fromWire(const wire::HostDescription &Host) {
   if (Host.host.empty() || Host.host.size() > MaximumNameLength ||
       Host.failure_domain.size() > MaximumNameLength)
@@ -77,13 +81,12 @@
   Read.FleetVersion = static_cast<std::uint64_t>(Host.fleet_version);
   Read.ReachesPlatform =
       !Host.__isset.reaches_platform || Host.reaches_platform;
+  Read.WatchesStore = Host.__isset.watches_store && Host.watches_store;
   Read.StartedAt = std::chrono::milliseconds(Host.started_at_ms);
   Read.Sequence = static_cast<std::uint64_t>(Host.sequence);
   return Read;
 }
 
-} // namespace
-
 wire::Heartbeat toWire(const Heartbeat &Content) {
   wire::Heartbeat Result;
   Result.sender = toWire(Content.Sender);
@@ -113,4 +116,57 @@
   return Read;
 }
 
+wire::DomainReport toWire(const DomainReport &Content) {
+  wire::DomainReport Result;
+  Result.failure_domain = Content.Domain.Value;
+  Result.peer_address = formatEndpoint(Content.Sender);
+  Result.digest = static_cast<std::int64_t>(Content.Digest);
+  Result.manifest_number = static_cast<std::int64_t>(Content.Manifest.Value);
+  Result.targets_revision = static_cast<std::int64_t>(Content.TargetsRevision);
+  if (Content.IsRelayed)
+    Result.__set_relayed(true);
+  if (Content.WantsHosts)
+    Result.__set_wants_hosts(true);
+  if (!Content.Hosts)
+    return Result;
+  Result.__isset.hosts = true;
+  for (const RemoteHost &Host : *Content.Hosts) {
+    wire::HostBrief Brief;
+    Brief.host = Host.Host.Value;
+    Brief.peer_address = wireAddress(Host.PeerAddress);
+    Brief.caller_address = wireAddress(Host.CallerAddress);
+    Brief.state = wireState(Host.State);
+    Result.hosts.push_back(std::move(Brief));
+  }
+  return Result;
+}
+
+Result<DomainReport> fromWire(const wire::DomainReport &Content) {
+  DomainReport Read;
+  if (Content.failure_domain.empty() ||
+      Content.failure_domain.size() > MaximumNameLength)
+    return Error{ErrorKind::InvalidInput,
+                 "a peer sent a report without a failure domain; check that "
+                 "its address belongs to a host"};
+  Read.Domain = FailureDomain(Content.failure_domain);
+  TRY(Read.Sender, parseEndpoint(Content.peer_address));
+  Read.Digest = static_cast<std::uint64_t>(Content.digest);
+  Read.Manifest = {static_cast<std::uint64_t>(Content.manifest_number)};
+  Read.TargetsRevision = static_cast<std::uint64_t>(Content.targets_revision);
+  Read.IsRelayed = Content.__isset.relayed && Content.relayed;
+  Read.WantsHosts = Content.__isset.wants_hosts && Content.wants_hosts;
+  if (!Content.__isset.hosts)
+    return Read;
+  Read.Hosts.emplace();
+  for (const wire::HostBrief &Brief : Content.hosts) {
+    RemoteHost Host;
+    Host.Host = HostId(Brief.host);
+    TRY(Host.PeerAddress, parseEndpoint(Brief.peer_address));
+    TRY(Host.CallerAddress, parseEndpoint(Brief.caller_address));
+    Host.State = stateOf(Brief.state);
+    Read.Hosts->push_back(std::move(Host));
+  }
+  return Read;
+}
+
 } // namespace comfreyrill
--- a/Libraries/LibPeer/Peer.thrift
+++ b/Libraries/LibPeer/Peer.thrift
@@ -26,6 +26,8 @@
   // from its predecessor, because incarnations are random. Absent in a short
   // heartbeat.
   12: optional i64 started_at_ms
+  // True while the host follows the platform's store for its failure domain.
+  13: optional bool watches_store
 }
 
 // Calls in flight from one host to one target.
@@ -116,6 +118,57 @@
 
 struct ErrorReply { 1: required string message }
 
+// A host as hosts of other failure domains need to know it.
+struct HostBrief {
+  1: required string host
+  2: required string peer_address
+  3: required string caller_address
+  4: required HostState state
+}
+
+// What the delegates of a failure domain tell those of the others. The hosts
+// are left out while the receiver has them; the digest tells.
+struct DomainReport {
+  1: required string failure_domain
+  2: required i64 digest
+  3: required i64 manifest_number
+  4: required i64 targets_revision
+  5: optional list<HostBrief> hosts
+  // Passed on within the failure domain of the receiver; not to be passed on
+  // again.
+  6: optional bool relayed
+  // The sender lacks the hosts of the receiver's failure domain.
+  7: optional bool wants_hosts
+  8: required string peer_address
+}
+
+// A host that knows no others asks a seed for some.
+struct JoinRequest { 1: required HostDescription sender }
+
+// Hosts of the failure domain of the asker, and a few of each other one.
+struct Introduction { 1: required list<HostDescription> hosts }
+
+// A target as registered. Of one that is gone, only the id counts.
+struct TargetRecord {
+  1: required string target
+  2: optional bool gone
+  3: optional string service_name
+  4: optional string address
+  5: optional string failure_domain
+  6: optional i32 slots
+  7: optional bool draining
+  8: optional i64 cold_ms
+  9: optional i64 started_at_ms
+}
+
+// Changes of the targets from one revision to another; from 0 it is the
+// complete list.
+struct TargetUpdate {
+  1: required i64 base_revision
+  2: required i64 revision
+  3: required list<TargetRecord> records
+}
+
 union PeerBody {
   1: Heartbeat heartbeat
   2: DocumentRequest document_request
@@ -128,6 +181,10 @@
   9: CrashEvidence crash_evidence
   10: ErrorReply error
   11: ProbeNotice probe_notice
+  12: DomainReport domain_report
+  13: JoinRequest join_request
+  14: Introduction introduction
+  15: TargetUpdate target_update
 }
 
 // A correlation of 0 marks a message that expects no reply; a reply repeats the
--- a/Services/Gateway/FleetService.cpp
+++ b/Services/Gateway/FleetService.cpp
@@ -5,6 +5,8 @@
 #include <LibMembership/Observe.h>
 #include <LibPeer/HeartbeatConversion.h>
 
+#include <algorithm>
+
 namespace comfreyrill {
 
 namespace {
@@ -15,16 +17,33 @@
 constexpr Duration ShortestTick = std::chrono::milliseconds(5);
 // Callers use at most this many addresses of one answer.
 constexpr std::size_t AddressesMaximum = 64;
+// Enough that callers who keep the addresses find one that lives after half of
+// the hosts have been lost.
+constexpr std::size_t AddressesWanted = 16;
 // Until the others have been heard, a new host takes the fleet to be of the
 // usual size, so that it does not use the whole budget alone.
 constexpr std::size_t AssumedHosts = 20;
 constexpr Duration HearingTime = std::chrono::seconds(3);
+// While no other host is heard, and otherwise, as a repair of views that have
+// come apart.
+constexpr Duration SeedIntervalAlone = std::chrono::milliseconds(200);
+constexpr Duration SeedInterval = std::chrono::seconds(10);
+constexpr Duration JoinTime = std::chrono::seconds(1);
+constexpr std::size_t AskersMaximum = 256;
+// Hosts named in one introduction: some of the asker's domain, of which it
+// learns the rest by heartbeats, and the possible delegates of each other one.
+constexpr std::size_t IntroducedNear = 4;
+constexpr std::size_t IntroducedFar = 2;
+constexpr Duration RelayInterval = std::chrono::seconds(1);
 
 } // namespace
 
 FleetService::FleetService(const GatewayContext &Environment,
-                           MemberTable &Members, PeerMesh &Mesh)
-    : Environment(Environment), Members(Members), Mesh(Mesh),
+                           MemberTable &Members, DomainTable &Domains,
+                           KnowledgeExchange &Exchange, PeerMesh &Mesh,
+                           std::vector<Endpoint> Seeds)
+    : Environment(Environment), Members(Members), Domains(Domains),
+      Exchange(Exchange), Mesh(Mesh), Seeds(std::move(Seeds)),
       TickTimer(Environment.Context) {}
 
 void FleetService::start() {
@@ -40,8 +59,7 @@
 
 Awaitable<void> FleetService::run() {
   while (!IsStopped) {
-    advance(Members, Environment.TimeSource.now());
-    sendHeartbeats();
+    tick();
     const TimePoint Now = Environment.TimeSource.now();
     TickTimer.expires_at(
         std::min(Now + TickInterval,
@@ -50,6 +68,16 @@
   }
 }
 
+void FleetService::tick() {
+  advance(Members, Environment.TimeSource.now());
+  contactSeeds();
+  Exchange.tick();
+  if (OnTick)
+    OnTick();
+  sendHeartbeats();
+  sendReports();
+}
+
 void FleetService::sendHeartbeats() {
   const auto Due = dueHeartbeats(Members, Environment.TimeSource.now(),
                                  Environment.Generator);
@@ -62,9 +90,27 @@
   }
 }
 
-void FleetService::handle(const wire::PeerBody &Body, const PeerReply &) {
+void FleetService::sendReports() {
+  for (const OutgoingReport &Outgoing :
+       dueReports(Domains, Members, Environment.TimeSource.now())) {
+    wire::PeerBody Body;
+    Body.__set_domain_report(toWire(Outgoing.Content));
+    if (!Mesh.send(Outgoing.Remote, Body))
+      ++Environment.Figures.counter("reports_dropped_total");
+  }
+}
+
+void FleetService::handle(const wire::PeerBody &Body, const PeerReply &Reply) {
   if (Body.__isset.heartbeat)
     onHeartbeat(Body.heartbeat);
+  else if (Body.__isset.domain_report)
+    onReport(Body.domain_report);
+  else if (Body.__isset.join_request)
+    onJoin(Body.join_request, Reply);
+  else if (Body.__isset.target_update)
+    Exchange.onTargetUpdate(Body.target_update);
+  else if (Body.__isset.document_request)
+    Exchange.onDocumentRequest(Body.document_request, Reply);
 }
 
 void FleetService::onHeartbeat(const wire::Heartbeat &Message) {
@@ -74,28 +120,149 @@
     return;
   }
   const HostDescription &Sender = Content.value().Sender;
-  if (observeHeartbeat(Members, Content.value(),
-                       Environment.TimeSource.now()) !=
-      HeartbeatVerdict::Joined)
+  if (Sender.isComplete() && Sender.Domain != Members.Self.Domain)
     return;
-  LogLine Line("host_joined");
-  Line.field("host", Sender.Host.Value)
-      .field("incarnation", hexadecimal(Sender.Incarnation.Value));
-  Environment.Events.write(LogLevel::Info, "host_joined", Line);
+  const HeartbeatVerdict Verdict =
+      observeHeartbeat(Members, Content.value(), Environment.TimeSource.now());
+  if (Verdict == HeartbeatVerdict::Joined) {
+    LogLine Line("host_joined");
+    Line.field("host", Sender.Host.Value)
+        .field("incarnation", hexadecimal(Sender.Incarnation.Value));
+    Environment.Events.write(LogLevel::Info, "host_joined", Line);
+    announce();
+  }
+  Exchange.tick();
+}
+
+void FleetService::onReport(const wire::DomainReport &Message) {
+  const auto Content = fromWire(Message);
+  if (!Content) {
+    ++Environment.Figures.counter("peer_messages_invalid_total");
+    return;
+  }
+  const DomainReport &Report = Content.value();
+  const TimePoint Now = Environment.TimeSource.now();
+  const ReportVerdict Verdict = observeReport(Domains, Members, Report, Now);
+  if (Verdict == ReportVerdict::Ignored || Report.IsRelayed)
+    return;
+  TimePoint &Last = RelayedAt[Report.Domain];
+  if (Verdict == ReportVerdict::Accepted && Now - Last < RelayInterval)
+    return;
+  Last = Now;
+  relay(Report);
+}
+
+// The hosts are always included: within the domain bytes are free, and a host
+// that has just joined knows none of them.
+void FleetService::relay(const DomainReport &Report) {
+  DomainReport Relayed = Report;
+  Relayed.IsRelayed = true;
+  Relayed.WantsHosts = false;
+  const RemoteDomain &Known = Domains.Domains[Report.Domain];
+  Relayed.Digest = Known.Digest;
+  if (!Known.Hosts.empty())
+    Relayed.Hosts = Known.Hosts;
+  wire::PeerBody Body;
+  Body.__set_domain_report(toWire(Relayed));
+  const TimePoint Now = Environment.TimeSource.now();
+  for (const Peer &Other : Members.Peers)
+    if (liveness(Members, Other, Now) == Liveness::Alive &&
+        !Mesh.send(Other.Description.PeerAddress, Body))
+      ++Environment.Figures.counter("reports_dropped_total");
+}
+
+void FleetService::contactSeeds() {
+  const TimePoint Now = Environment.TimeSource.now();
+  if (Now < NextSeedContact)
+    return;
+  const bool IsAlone = aliveCount(Members, Now) == 0;
+  const bool LacksDomains =
+      isDelegate(Members, Now) &&
+      std::any_of(Domains.Domains.begin(), Domains.Domains.end(),
+                  [](const auto &Entry) { return !Entry.second.HeardAt; });
+  NextSeedContact =
+      Now + (IsAlone || LacksDomains ? SeedIntervalAlone : SeedInterval);
+  for (const Endpoint &Seed : Seeds)
+    if (Seed != Members.Self.PeerAddress)
+      asio::co_spawn(Environment.Context, join(Seed), asio::detached);
+}
+
+Awaitable<void> FleetService::join(Endpoint Seed) {
+  const auto Self = shared_from_this();
+  wire::JoinRequest Request;
+  Request.__set_sender(toWire(Members.Self));
+  wire::PeerBody Body;
+  Body.__set_join_request(Request);
+  const auto Reply = co_await Mesh.request(
+      Seed, Body, Environment.TimeSource.now() + JoinTime);
+  if (!Reply || !Reply.value().__isset.introduction)
+    co_return;
+  for (const wire::HostDescription &Named : Reply.value().introduction.hosts)
+    if (const auto Read = fromWire(Named))
+      takeIntroduction(Read.value());
   announce();
 }
 
+void FleetService::takeIntroduction(const HostDescription &Named) {
+  if (!Named.isComplete())
+    return;
+  if (Named.Domain == Members.Self.Domain)
+    observeHearsay(Members, Named, Environment.TimeSource.now());
+  else
+    observeContact(Domains, Named);
+}
+
+void FleetService::onJoin(const wire::JoinRequest &Message,
+                          const PeerReply &Reply) {
+  const auto Read = fromWire(Message.sender);
+  if (!Read || !Read.value().isComplete())
+    return;
+  const HostDescription &Asker = Read.value();
+  takeIntroduction(Asker);
+  wire::Introduction Names;
+  std::map<FailureDomain, std::size_t> Counts;
+  const auto Name = [&](const HostDescription &Host) {
+    const std::size_t Most =
+        Host.Domain == Asker.Domain ? IntroducedNear : IntroducedFar;
+    if (Host.Host != Asker.Host && Counts[Host.Domain]++ < Most)
+      Names.hosts.push_back(toWire(Host));
+  };
+  Name(Members.Self);
+  const TimePoint Now = Environment.TimeSource.now();
+  for (const Peer &Other : Members.Peers)
+    if (Other.Description.isComplete() &&
+        liveness(Members, Other, Now) == Liveness::Alive)
+      Name(Other.Description);
+  // The latest askers first: earlier ones may be gone.
+  for (auto Host = Askers.rbegin(); Host != Askers.rend(); ++Host)
+    Name(*Host);
+  std::erase_if(Askers, [&](const HostDescription &Known) {
+    return Known.Host == Asker.Host;
+  });
+  if (Askers.size() >= AskersMaximum)
+    Askers.erase(Askers.begin());
+  Askers.push_back(Asker);
+  wire::PeerBody Body;
+  Body.__set_introduction(Names);
+  Reply.send(Body);
+}
+
 std::vector<Endpoint> FleetService::callerAddresses() {
+  const TimePoint Now = Environment.TimeSource.now();
   std::vector<Endpoint> Addresses;
   for (CallerAddress &Chosen :
-       chooseAddresses(Members, AddressesMaximum, Environment.TimeSource.now(),
-                       Environment.Generator))
+       chooseAddresses(Members, AddressesMaximum, Now, Environment.Generator))
     Addresses.push_back(std::move(Chosen.Address));
+  std::vector<RemoteHost> Others = remoteHosts(Domains, Now);
+  std::shuffle(Others.begin(), Others.end(), Environment.Generator);
+  for (RemoteHost &Other : Others)
+    if (Addresses.size() < AddressesWanted)
+      Addresses.push_back(std::move(Other.CallerAddress));
   return Addresses;
 }
 
 std::size_t FleetService::budgetHosts() const {
-  const std::size_t Known = Members.Peers.size() + 1;
+  const std::size_t Known = Members.Peers.size() + 1 + remoteHostCount(Domains);
   const bool IsNew =
       Environment.TimeSource.now() - Members.Started < HearingTime;
   return IsNew ? std::max(Known, AssumedHosts) : Known;
--- a/Services/Gateway/FleetService.h
+++ b/Services/Gateway/FleetService.h
@@ -1,21 +1,29 @@
 #pragma once
 
 #include "GatewayContext.h"
+#include "KnowledgeExchange.h"
 
+#include <LibMembership/DomainTable.h>
 #include <LibMembership/Heartbeats.h>
-#include <LibMembership/MemberTable.h>
 #include <LibPeer/PeerMesh.h>
 #include <LibPeer/PeerServer.h>
 
+#include <functional>
 #include <memory>
 
 namespace comfreyrill {
 
-/// Tells the other hosts that this one lives, and learns the same of them.
+/// Knows the other hosts: those of the own failure domain by their heartbeats,
+/// the others by the reports of their delegates.
 class FleetService : public std::enable_shared_from_this<FleetService> {
 public:
   FleetService(const GatewayContext &Environment, MemberTable &Members,
-               PeerMesh &Mesh);
+               DomainTable &Domains, KnowledgeExchange &Exchange,
+               PeerMesh &Mesh, std::vector<Endpoint> Seeds);
+
+  /// Called several times a second with the latest view of the hosts.
+  using TickHandler = std::function<void()>;
+  void onTick(TickHandler Handler) { OnTick = std::move(Handler); }
 
   void start();
   void stop();
@@ -26,8 +34,8 @@
   /// Tells the other hosts at once what changed on this one.
   void announce() { TickTimer.cancel(); }
 
-  /// Addresses to hand out to callers; this host's own is among them unless it
-  /// is leaving.
+  /// Addresses to hand out to callers: hosts of this failure domain, filled up
+  /// with others when there are few.
   std::vector<Endpoint> callerAddresses();
 
   /// Hosts among which the budgets of the fleet are divided: all that are
@@ -36,13 +44,29 @@
 
 private:
   Awaitable<void> run();
+  void tick();
   void sendHeartbeats();
+  void sendReports();
+  void relay(const DomainReport &Report);
   void onHeartbeat(const wire::Heartbeat &Message);
+  void onReport(const wire::DomainReport &Message);
+  void onJoin(const wire::JoinRequest &Message, const PeerReply &Reply);
+  void contactSeeds();
+  Awaitable<void> join(Endpoint Seed);
+  void takeIntroduction(const HostDescription &Named);
 
   const GatewayContext &Environment;
   MemberTable &Members;
+  DomainTable &Domains;
+  KnowledgeExchange &Exchange;
   PeerMesh &Mesh;
+  std::vector<Endpoint> Seeds;
+  TickHandler OnTick;
   Timer TickTimer;
+  TimePoint NextSeedContact;
+  /// Hosts that have asked this one for others lately.
+  std::vector<HostDescription> Askers;
+  std::map<FailureDomain, TimePoint> RelayedAt;
   bool IsStopped = false;
 };
 
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -2,7 +2,7 @@
 
 #include "RequestExecution.h"
 
-#include <LibCore/Hash.h>
+#include <LibMembership/Roles.h>
 #include <platform/CallCodec.h>
 
 namespace comfreyrill {
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr Duration MaintenanceInterval = std::chrono::milliseconds(250);
+// Hosts start within 0.3 s of each other; one that is alone by then asks the
+// store itself.
+constexpr Duration PeerHearingTime = std::chrono::milliseconds(400);
 constexpr Duration DrainPollInterval = std::chrono::milliseconds(20);
 // Targets close connections that are idle for ten seconds (site files:
 // idle_close_ms); this side closes first.
@@ -56,16 +59,14 @@
 Gateway::Gateway(GatewaySettings Configured, asio::io_context &Loop,
                  const Clock &TimeSource)
     : Configured(std::move(Configured)), Loop(Loop), TimeSource(TimeSource),
-      MaintenanceTimer(Loop.get_executor()) {}
+      Started(TimeSource.now()), MaintenanceTimer(Loop.get_executor()) {}
 
 Result<void> Gateway::start() {
   TRY(buildState());
   TRY(buildServices());
   TRY(listen());
   TRY(const auto Fleet, Kernel.find<FleetService>("fleet"));
-  TRY(const auto Store, Kernel.find<StoreService>("store"));
   Fleet->start();
-  Store->start();
   asio::co_spawn(Loop, runMaintenance(), asio::detached);
   return outcome::success();
 }
@@ -81,7 +82,7 @@
   const auto Targets =
       std::make_shared<ConnectionPool>(Context, TimeSource, PoolIdleTime);
   const auto Members = std::make_shared<MemberTable>(
-      makeMemberTable(describeSelf(Configured, *Generator), Configured.Seeds,
+      makeMemberTable(describeSelf(Configured, *Generator), {},
                       MembershipSettings{}, TimeSource.now()));
   TRY(Kernel.add("log", Output));
   TRY(Kernel.add("events", Events));
@@ -103,15 +104,23 @@
   TRY(const auto Members, Kernel.find<MemberTable>("members"));
   const auto Mesh = std::make_shared<PeerMesh>(
       Context, TimeSource, PeerMeshLimits{}, systemRandom());
-  const auto Fleet =
-      std::make_shared<FleetService>(*Environment, *Members, *Mesh);
+  const auto Domains = std::make_shared<DomainTable>();
+  const auto Exchange = std::make_shared<KnowledgeExchange>(
+      *Environment, *Members, *Domains, *Mesh);
+  const auto Fleet = std::make_shared<FleetService>(
+      *Environment, *Members, *Domains, *Exchange, *Mesh, Configured.Seeds);
   Environment->Hosts = [Fleet = Fleet.get()] { return Fleet->budgetHosts(); };
   const auto StoreConnections =
       std::make_shared<ConnectionPool>(Context, TimeSource, PoolIdleTime);
   const auto Client = std::make_shared<platform::ObjectStore>(
       Configured.Store, *StoreConnections, TimeSource);
   const auto Store = std::make_shared<StoreService>(
-      *Environment, *Client, [this] { onKnowledgeChange(); });
+      *Environment, *Client,
+      [Exchange = Exchange.get()] { Exchange->publish(true); });
+  Exchange->onChange([this] { onKnowledgeChange(); });
+  Fleet->onTick([this] { assignStoreRole(); });
+  TRY(Kernel.add("domains", Domains));
+  TRY(Kernel.add("exchange", Exchange));
   TRY(Kernel.add("mesh", Mesh));
   TRY(Kernel.add("fleet", Fleet));
   TRY(Kernel.add("store_connections", StoreConnections));
@@ -238,7 +247,6 @@
     Limits.MessageTime = InForce->Limits.HeaderTime;
     Limits.IdleTime = InForce->Limits.IdleTime;
     Kernel.find<HttpServer>("callers").value()->setLimits(Limits);
-    announceManifest(Members, {Applied.Value}, TimeSource.now());
   }
   if (Members.Self.State == HostState::Starting &&
       !Environment->Known.targets().Targets.empty()) {
@@ -250,16 +258,35 @@
   Kernel.find<FleetService>("fleet").value()->announce();
 }
 
+// One host of each failure domain follows the store, because each return of a
+// watch is a priced call; the others learn from it.
+void Gateway::assignStoreRole() {
+  const TimePoint Now = TimeSource.now();
+  if (Now - Started < PeerHearingTime)
+    return;
+  auto &Members = *Kernel.find<MemberTable>("members").value();
+  auto &Store = *Kernel.find<StoreService>("store").value();
+  announcePlatform(Members, Store.isReached(), Now);
+  announceWatching(Members, Store.isFollowing(), Now);
+  Store.setWatching(isStoreWatcher(Members, Now));
+}
+
 Awaitable<void> Gateway::runMaintenance() {
   auto &Connections =
       *Kernel.find<ConnectionPool>("target_connections").value();
+  auto &Store = *Kernel.find<StoreService>("store").value();
+  auto &Exchange = *Kernel.find<KnowledgeExchange>("exchange").value();
+  auto &StoreConnections =
+      *Kernel.find<ConnectionPool>("store_connections").value();
   while (true) {
     MaintenanceTimer.expires_after(MaintenanceInterval);
     const auto [Code] = co_await MaintenanceTimer.async_wait(UseTuple);
     if (Code)
       co_return;
     Connections.closeExpired();
-    Environment->Known.expire();
+    StoreConnections.closeExpired();
+    if (Environment->Known.expire() && Store.isFollowing())
+      Exchange.publish(true);
   }
 }
 
--- a/Services/Gateway/Gateway.h
+++ b/Services/Gateway/Gateway.h
@@ -41,6 +41,7 @@
   HttpResponse handleDirectory(const HttpRequest &Request);
   HttpResponse handleMetrics();
   void onKnowledgeChange();
+  void assignStoreRole();
   Awaitable<void> runMaintenance();
   Awaitable<void> runDrain();
 
@@ -50,6 +51,7 @@
   ServiceRegistry Kernel;
   std::optional<GatewayContext> Environment;
   ConfigurationVersion Applied;
+  TimePoint Started;
   Timer MaintenanceTimer;
   bool IsDraining = false;
 };
--- a/Services/Gateway/Knowledge.cpp
+++ b/Services/Gateway/Knowledge.cpp
@@ -27,38 +27,49 @@
 void Knowledge::offerRegistrations(
     const std::vector<TargetRegistration> &Listed, StoreRevision Revision,
     std::string_view Source) {
-  if (replaceRegistrations(Directory, Listed, Revision, TimeSource.now()))
-    logTargets(Source);
+  const auto Changed =
+      replaceRegistrations(Directory, Listed, Revision, TimeSource.now());
+  if (Changed)
+    noteChanged(*Changed, Source);
 }
 
 void Knowledge::offerChange(const RegistrationChange &Change,
                             std::string_view Source) {
-  if (!applyChange(Directory, Change, TimeSource.now()))
-    return;
-  LogLine Line("target_changed");
-  Line.field("target", Change.Id.Value)
-      .field("state", !Change.Registration              ? "gone"
-                      : Change.Registration->IsDraining ? "draining"
-                                                        : "ready")
-      .field("revision", Change.Revision.Value)
-      .field("source", Source);
-  Events.write(LogLevel::Info, "target_changed", Line);
+  if (applyChange(Directory, Change, TimeSource.now()))
+    noteChanged({Change.Id}, Source);
+}
+
+bool Knowledge::offerDelta(const TargetDelta &Delta, std::string_view Source) {
+  const auto Changed = applyDelta(Directory, Delta, TimeSource.now());
+  if (Changed)
+    noteChanged(*Changed, Source);
+  return Changed.has_value();
+}
+
+TargetDelta Knowledge::takeDelta() {
+  TargetDelta Delta =
+      makeDelta(Directory, LastDelta, ChangedSinceDelta, TimeSource.now());
+  ChangedSinceDelta.clear();
+  LastDelta = Directory.Revision;
+  return Delta;
+}
+
+TargetDelta Knowledge::completeDelta() const {
+  return makeCompleteDelta(Directory, TimeSource.now());
 }
 
 void Knowledge::noteStoreReturn() {
   recordStoreReturn(Directory, TimeSource.now());
 }
 
-void Knowledge::expire() {
-  for (const TargetId &Id : dropLapsed(Directory, TimeSource.now())) {
-    LogLine Line("target_changed");
-    Line.field("target", Id.Value).field("state", "lapsed");
-    Events.write(LogLevel::Info, "target_changed", Line);
-  }
+bool Knowledge::expire() {
+  const auto Lapsed = dropLapsed(Directory, TimeSource.now());
+  noteChanged(Lapsed, "lapse");
   std::erase_if(Experience, [&](const auto &Entry) {
     return Entry.second.InFlight == 0 &&
            !Directory.Targets.contains(Entry.first);
   });
+  return !Lapsed.empty();
 }
 
 std::vector<PlacementCandidate>
@@ -92,12 +103,21 @@
   Events.write(LogLevel::Warning, "target_ejected", Line);
 }
 
-void Knowledge::logTargets(std::string_view Source) {
-  LogLine Line("targets_listed");
-  Line.field("count", std::uint64_t{Directory.Targets.size()})
-      .field("revision", Directory.Revision.Value)
-      .field("source", Source);
-  Events.write(LogLevel::Info, "targets_listed", Line);
+void Knowledge::noteChanged(const std::vector<TargetId> &Changed,
+                            std::string_view Source) {
+  for (const TargetId &Id : Changed) {
+    const auto Position = Directory.Targets.find(Id);
+    LogLine Line("target_changed");
+    Line.field("target", Id.Value)
+        .field("state", Position == Directory.Targets.end()        ? "gone"
+                        : Position->second.Registration.IsDraining ? "draining"
+                                                                   : "ready")
+        .field("revision", Directory.Revision.Value)
+        .field("source", Source);
+    Events.write(LogLevel::Info, "target_changed", Line);
+  }
+  ChangedSinceDelta.insert(ChangedSinceDelta.end(), Changed.begin(),
+                           Changed.end());
 }
 
 } // namespace comfreyrill
--- a/Services/Gateway/Knowledge.h
+++ b/Services/Gateway/Knowledge.h
@@ -53,10 +53,18 @@
   void offerRegistrations(const std::vector<TargetRegistration> &Listed,
                           StoreRevision Revision, std::string_view Source);
   void offerChange(const RegistrationChange &Change, std::string_view Source);
+  /// Takes changes of another host. False when they begin after what is known
+  /// here or are older.
+  bool offerDelta(const TargetDelta &Delta, std::string_view Source);
   void noteStoreReturn();
 
-  /// Drops lapsed targets and what is kept of targets that are gone.
-  void expire();
+  /// Drops lapsed targets and what is kept of targets that are gone. Returns
+  /// whether any has lapsed.
+  bool expire();
+
+  /// What has changed since the last call, for the hosts that follow this one.
+  TargetDelta takeDelta();
+  TargetDelta completeDelta() const;
 
   /// Targets of a service that may be given new requests.
   std::vector<PlacementCandidate> candidates(const ServiceName &Service,
@@ -68,13 +76,16 @@
   void recordFailure(const TargetId &Id, bool IsConnectionFailure);
 
 private:
-  void logTargets(std::string_view Source);
+  void noteChanged(const std::vector<TargetId> &Changed,
+                   std::string_view Source);
 
   const Clock &TimeSource;
   BoundedLog &Events;
   std::shared_ptr<const Configuration> InForce;
   std::string InForceText;
   TargetDirectory Directory;
+  std::vector<TargetId> ChangedSinceDelta;
+  StoreRevision LastDelta;
   std::unordered_map<TargetId, TargetExperience> Experience;
   std::map<ServiceName, ServiceExperience> Services;
 };
--- /dev/null
+++ b/Services/Gateway/KnowledgeExchange.cpp
@@ -0,0 +1,174 @@
+#include "KnowledgeExchange.h"
+
+#include "TargetUpdateCodec.h"
+
+#include <platform/StoreCodec.h>
+
+namespace comfreyrill {
+
+namespace {
+
+constexpr Duration FetchTime = std::chrono::seconds(1);
+// Each failure domain learns of changes from the store by itself. Only when it
+// stays behind for so long does it ask another one, because bytes between
+// domains are priced; a quarter of the time in which changes must be in force.
+constexpr Duration LagTolerance = std::chrono::milliseconds(500);
+constexpr std::string_view ConfigurationDocument = "configuration";
+constexpr std::string_view TargetsDocument = "targets";
+
+} // namespace
+
+KnowledgeExchange::KnowledgeExchange(const GatewayContext &Environment,
+                                     MemberTable &Members, DomainTable &Domains,
+                                     PeerMesh &Mesh)
+    : Environment(Environment), Members(Members), Domains(Domains), Mesh(Mesh) {
+}
+
+void KnowledgeExchange::publish(bool IsFromStore) {
+  const TimePoint Now = Environment.TimeSource.now();
+  const TargetDelta Delta = Environment.Known.takeDelta();
+  if (IsFromStore && !Delta.Changes.empty()) {
+    wire::PeerBody Body;
+    Body.__set_target_update(toWire(Delta));
+    for (const Peer &Other : Members.Peers)
+      if (liveness(Members, Other, Now) != Liveness::Lost &&
+          !Mesh.send(Other.Description.PeerAddress, Body))
+        ++Environment.Figures.counter("target_updates_dropped_total");
+  }
+  announceManifest(Members, {Environment.Known.version().Value}, Now);
+  announceFleet(Members, Environment.Known.targets().Revision.Value, Now);
+  if (OnChange)
+    OnChange();
+}
+
+void KnowledgeExchange::tick() {
+  fetchFromDomain();
+  fetchFromOtherDomains();
+}
+
+void KnowledgeExchange::fetchFromDomain() {
+  for (const DocumentKind Kind :
+       {DocumentKind::Manifest, DocumentKind::FleetList}) {
+    const auto Source = chooseDocumentSource(
+        Members, Kind, Environment.TimeSource.now(), Environment.Generator);
+    if (Source)
+      asio::co_spawn(Environment.Context, fetch(Kind, Source->Remote),
+                     asio::detached);
+  }
+}
+
+void KnowledgeExchange::fetchFromOtherDomains() {
+  const TimePoint Now = Environment.TimeSource.now();
+  if (!isDelegate(Members, Now))
+    return;
+  const RemoteDomain *Ahead = nullptr;
+  // Revisions of the targets differ a little between hosts that follow the
+  // store, so another domain's list is only asked for when this one has no host
+  // that follows it.
+  bool HasWatcher = Members.Self.WatchesStore;
+  for (const Peer &Other : Members.Peers)
+    HasWatcher =
+        HasWatcher || (Other.Description.WatchesStore &&
+                       liveness(Members, Other, Now) == Liveness::Alive);
+  bool IsBehindTargets = false;
+  for (const auto &[Name, Domain] : Domains.Domains) {
+    const bool LacksTargets =
+        !HasWatcher &&
+        Domain.TargetsRevision > Environment.Known.targets().Revision.Value;
+    if (Domain.Manifest.Value <= Environment.Known.version().Value &&
+        !LacksTargets)
+      continue;
+    Ahead = &Domain;
+    IsBehindTargets = IsBehindTargets || LacksTargets;
+  }
+  if (Ahead == nullptr) {
+    BehindSince.reset();
+    return;
+  }
+  if (!BehindSince)
+    BehindSince = Now;
+  if (Now - *BehindSince < LagTolerance)
+    return;
+  BehindSince = Now;
+  asio::co_spawn(
+      Environment.Context,
+      fetch(IsBehindTargets ? DocumentKind::FleetList : DocumentKind::Manifest,
+            Ahead->Sender),
+      asio::detached);
+  if (IsBehindTargets &&
+      Ahead->Manifest.Value > Environment.Known.version().Value)
+    asio::co_spawn(Environment.Context,
+                   fetch(DocumentKind::Manifest, Ahead->Sender),
+                   asio::detached);
+}
+
+Awaitable<void> KnowledgeExchange::fetch(DocumentKind Kind, Endpoint Remote) {
+  const auto Self = shared_from_this();
+  const bool IsConfiguration = Kind == DocumentKind::Manifest;
+  wire::DocumentRequest Request;
+  Request.__set_name(
+      std::string(IsConfiguration ? ConfigurationDocument : TargetsDocument));
+  Request.__set_newer_than(static_cast<std::int64_t>(
+      IsConfiguration ? Environment.Known.version().Value
+                      : Environment.Known.targets().Revision.Value));
+  wire::PeerBody Body;
+  Body.__set_document_request(Request);
+  const auto Reply = co_await Mesh.request(
+      Remote, Body, Environment.TimeSource.now() + FetchTime);
+  if (!Reply)
+    co_return;
+  if (Reply.value().__isset.document_reply)
+    takeConfiguration(Reply.value().document_reply.value);
+  else if (Reply.value().__isset.target_update)
+    onTargetUpdate(Reply.value().target_update);
+}
+
+void KnowledgeExchange::takeConfiguration(const std::string &Text) {
+  auto Read = platform::decodeConfiguration(Text);
+  if (!Read) {
+    LogLine Line("configuration_refused");
+    Line.field("source", "host").field("cause", Read.error().Message);
+    Environment.Events.writeAlways(LogLevel::Error, Line);
+    return;
+  }
+  if (Environment.Known.offerConfiguration(std::move(Read.value()), Text,
+                                           "host"))
+    publish(false);
+}
+
+void KnowledgeExchange::onTargetUpdate(const wire::TargetUpdate &Update) {
+  const auto Delta = fromWire(Update);
+  if (!Delta) {
+    ++Environment.Figures.counter("peer_messages_invalid_total");
+    return;
+  }
+  // A gap is closed by fetching: the sender's revision is ahead of this host's.
+  if (Environment.Known.offerDelta(Delta.value(), "host"))
+    publish(false);
+}
+
+void KnowledgeExchange::onDocumentRequest(const wire::DocumentRequest &Message,
+                                          const PeerReply &Reply) const {
+  const auto NewerThan = static_cast<std::uint64_t>(Message.newer_than);
+  wire::PeerBody Body;
+  if (Message.name == ConfigurationDocument &&
+      Environment.Known.version().Value > NewerThan) {
+    wire::DocumentReply Document;
+    Document.__set_name(Message.name);
+    Document.__set_number(
+        static_cast<std::int64_t>(Environment.Known.version().Value));
+    Document.__set_value(Environment.Known.configurationText());
+    Body.__set_document_reply(Document);
+  } else if (Message.name == TargetsDocument &&
+             Environment.Known.targets().Revision.Value > NewerThan) {
+    Body.__set_target_update(toWire(Environment.Known.completeDelta()));
+  } else {
+    wire::ErrorReply Refusal;
+    Refusal.__set_message("no newer " + Message.name +
+                          " here; ask another host");
+    Body.__set_error(Refusal);
+  }
+  Reply.send(Body);
+}
+
+} // namespace comfreyrill
--- a/Services/Gateway/StoreService.cpp
+++ b/Services/Gateway/StoreService.cpp
@@ -15,6 +15,10 @@
 constexpr BackoffPolicy Pauses{std::chrono::milliseconds(100),
                                std::chrono::milliseconds(500)};
 
+// After a failure another host of the domain follows the store; this one may
+// try again later.
+constexpr Duration RetryAfterFailure = std::chrono::seconds(1);
+
 std::string_view kindOf(bool IsConfiguration) {
   return IsConfiguration ? platform::ConfigurationKind : platform::TargetKind;
 }
@@ -25,21 +29,42 @@
                            platform::ObjectStore &Store, ChangeHandler OnChange)
     : Environment(Environment), Store(Store), OnChange(std::move(OnChange)) {}
 
-void StoreService::start() {
+void StoreService::setWatching(bool ShouldWatch) {
+  if (ShouldWatch == IsWatching)
+    return;
+  IsWatching = ShouldWatch;
+  FollowsConfiguration = false;
+  FollowsTargets = false;
+  LogLine Line(IsWatching ? "store_watch_start" : "store_watch_stop");
+  Environment.Events.write(LogLevel::Info, "store_watch", Line);
+  if (!IsWatching) {
+    Store.cancel();
+    return;
+  }
+  ++CurrentGeneration;
   for (const Subject Followed : {Subject::Configuration, Subject::Targets})
-    asio::co_spawn(
-        Environment.Context,
-        [Self = shared_from_this(), Followed] {
-          return Self->follow(Followed);
-        },
-        asio::detached);
+    asio::co_spawn(Environment.Context, follow(Followed, CurrentGeneration),
+                   asio::detached);
 }
 
-Awaitable<void> StoreService::follow(Subject Followed) {
+bool StoreService::isFollowing() const {
+  return IsWatching && FollowsConfiguration && FollowsTargets && Failures == 0;
+}
+
+bool StoreService::isReached() const {
+  return Failures == 0 ||
+         Environment.TimeSource.now() - FailedAt >= RetryAfterFailure;
+}
+
+Awaitable<void> StoreService::follow(Subject Followed,
+                                     std::uint64_t Generation) {
+  const auto Self = shared_from_this();
   std::uint32_t InARow = 0;
-  while (!IsStopped) {
+  while (isCurrent(Generation)) {
     bool IsListed = false;
-    const Error Cause = co_await followOnce(Followed, IsListed);
+    const Error Cause = co_await followOnce(Followed, Generation, IsListed);
+    if (!isCurrent(Generation))
+      break;
     InARow = IsListed ? 1 : InARow + 1;
     // The history is gone, not the store: list again at once.
     if (Cause.Kind == ErrorKind::NotFound)
@@ -54,24 +79,18 @@
 // Lists in any case: a watch that resumes at an old revision while the store is
 // dropping its history waits for the next change without an error, and misses
 // the changes in between.
-Awaitable<Error> StoreService::followOnce(Subject Followed, bool &IsListed) {
+Awaitable<Error> StoreService::followOnce(Subject Followed,
+                                          std::uint64_t Generation,
+                                          bool &IsListed) {
   auto Read = co_await readAll(Followed);
   if (!Read)
     co_return Read.error();
   IsListed = true;
   StoreRevision Seen = Read.value();
   const bool IsConfiguration = Followed == Subject::Configuration;
-  while (!IsStopped) {
+  while (isCurrent(Generation)) {
     const auto Changes = co_await Store.watch(kindOf(IsConfiguration), Seen,
                                               WatchTime, CallTime);
-    LogLine Line("store_watch");
-    Line.field("kind", kindOf(IsConfiguration))
-        .field("after", Seen.Value)
-        .field("revision", Changes ? Changes.value().Revision.Value : 0)
-        .field("events",
-               Changes ? std::uint64_t{Changes.value().Events.size()} : 0)
-        .field("cause", Changes ? "" : Changes.error().Message);
-    Environment.Events.write(LogLevel::Info, "store_watch", Line);
     if (!Changes)
       co_return Changes.error();
     noteSuccess(Followed);
@@ -87,7 +106,7 @@
       }
     }
   }
-  co_return Error{ErrorKind::Unavailable, "the process is stopping"};
+  co_return Error{ErrorKind::Unavailable, "this host follows no longer"};
 }
 
 Awaitable<Result<StoreRevision>> StoreService::readAll(Subject Followed) {
@@ -165,6 +184,8 @@
 }
 
 void StoreService::noteSuccess(Subject Followed) {
+  (Followed == Subject::Configuration ? FollowsConfiguration : FollowsTargets) =
+      true;
   if (Failures == 0)
     return;
   LogLine Line("store_regained");
@@ -181,6 +202,7 @@
   Line.field("cause", Cause.Message);
   Environment.Events.write(LogLevel::Warning, "store_failure", Line);
   ++Failures;
+  FailedAt = Environment.TimeSource.now();
 }
 
 } // namespace comfreyrill
--- a/Services/Gateway/StoreService.h
+++ b/Services/Gateway/StoreService.h
@@ -19,18 +19,26 @@
   StoreService(const GatewayContext &Environment, platform::ObjectStore &Store,
                ChangeHandler OnChange);
 
-  void start();
-  void stop() { IsStopped = true; }
+  /// Starts or ends to follow the store; nothing happens when that is so
+  /// already.
+  void setWatching(bool ShouldWatch);
 
-  /// False while the last call to the store has failed.
-  bool isReached() const { return Failures == 0; }
+  /// True when both the configuration and the targets are followed and the last
+  /// calls were answered.
+  bool isFollowing() const;
+  /// False for some time after a call to the store has failed.
+  bool isReached() const;
 
 private:
   enum class Subject { Configuration, Targets };
 
-  Awaitable<void> follow(Subject Followed);
+  Awaitable<void> follow(Subject Followed, std::uint64_t Generation);
   /// Lists, then watches until a call fails.
-  Awaitable<Error> followOnce(Subject Followed, bool &IsListed);
+  Awaitable<Error> followOnce(Subject Followed, std::uint64_t Generation,
+                              bool &IsListed);
+  bool isCurrent(std::uint64_t Generation) const {
+    return IsWatching && Generation == CurrentGeneration;
+  }
   Awaitable<Result<StoreRevision>> readAll(Subject Followed);
   void takeList(Subject Followed,
                 const std::vector<platform::StoreObject> &Objects,
@@ -45,7 +53,12 @@
   platform::ObjectStore &Store;
   ChangeHandler OnChange;
   std::uint32_t Failures = 0;
-  bool IsStopped = false;
+  TimePoint FailedAt;
+  bool IsWatching = false;
+  /// Tells the loops of an earlier turn of watching that they are over.
+  std::uint64_t CurrentGeneration = 0;
+  bool FollowsConfiguration = false;
+  bool FollowsTargets = false;
 };
 
 } // namespace comfreyrill
--- /dev/null
+++ b/Services/Gateway/TargetUpdateCodec.cpp
@@ -0,0 +1,72 @@
+#include "TargetUpdateCodec.h"
+
+namespace comfreyrill {
+
+namespace {
+
+wire::TargetRecord toWire(const RegistrationChange &Change) {
+  wire::TargetRecord Record;
+  Record.target = Change.Id.Value;
+  if (!Change.Registration) {
+    Record.__set_gone(true);
+    return Record;
+  }
+  const TargetRegistration &Registered = *Change.Registration;
+  Record.__set_service_name(Registered.Service.Value);
+  Record.__set_address(formatEndpoint(Registered.Address));
+  Record.__set_failure_domain(Registered.Domain.Value);
+  Record.__set_slots(static_cast<std::int32_t>(Registered.Slots));
+  Record.__set_started_at_ms(
+      static_cast<std::int64_t>(Registered.StartedAtMilliseconds));
+  if (Registered.IsDraining)
+    Record.__set_draining(true);
+  if (Registered.ColdTime > Duration::zero())
+    Record.__set_cold_ms(std::chrono::duration_cast<std::chrono::milliseconds>(
+                             Registered.ColdTime)
+                             .count());
+  return Record;
+}
+
+Result<RegistrationChange> fromWire(const wire::TargetRecord &Record,
+                                    StoreRevision Revision) {
+  RegistrationChange Change{TargetId(Record.target), std::nullopt, Revision};
+  if (Record.__isset.gone && Record.gone)
+    return Change;
+  TargetRegistration Registered;
+  Registered.Id = Change.Id;
+  Registered.Service = ServiceName(Record.service_name);
+  TRY(Registered.Address, parseEndpoint(Record.address));
+  Registered.Domain = FailureDomain(Record.failure_domain);
+  Registered.Slots = static_cast<std::uint32_t>(std::max(Record.slots, 1));
+  Registered.IsDraining = Record.__isset.draining && Record.draining;
+  Registered.ColdTime = std::chrono::milliseconds(
+      Record.__isset.cold_ms ? std::max<std::int64_t>(Record.cold_ms, 0) : 0);
+  Registered.StartedAtMilliseconds =
+      static_cast<std::uint64_t>(Record.started_at_ms);
+  Change.Registration = std::move(Registered);
+  return Change;
+}
+
+} // namespace
+
+wire::TargetUpdate toWire(const TargetDelta &Delta) {
+  wire::TargetUpdate Update;
+  Update.base_revision = static_cast<std::int64_t>(Delta.Base.Value);
+  Update.revision = static_cast<std::int64_t>(Delta.Revision.Value);
+  for (const RegistrationChange &Change : Delta.Changes)
+    Update.records.push_back(toWire(Change));
+  return Update;
+}
+
+Result<TargetDelta> fromWire(const wire::TargetUpdate &Update) {
+  TargetDelta Delta;
+  Delta.Base.Value = static_cast<std::uint64_t>(Update.base_revision);
+  Delta.Revision.Value = static_cast<std::uint64_t>(Update.revision);
+  for (const wire::TargetRecord &Record : Update.records) {
+    TRY(RegistrationChange Change, fromWire(Record, Delta.Revision));
+    Delta.Changes.push_back(std::move(Change));
+  }
+  return Delta;
+}
+
+} // namespace comfreyrill
