--- a/Services/Gateway/FleetService.cpp
+++ b/Services/Gateway/FleetService.cpp
@@ -13,7 +13,7 @@
 
 // Well below the pause threshold of the membership, which takes a longer gap
 // for a pause of this process.
-constexpr Duration TickInterval = std::chrono::milliseconds(100);
+constexpr Duration TickInterval = std::chrono::milliseconds(50);
 constexpr Duration ShortestTick = std::chrono::milliseconds(5);
 // Callers use at most this many addresses of one answer.
 constexpr std::size_t AddressesMaximum = 64;
@@ -26,7 +26,7 @@
 constexpr Duration HearingTime = std::chrono::seconds(3);
 // While no other host is heard, and otherwise, as a repair of views that have
 // come apart.
-constexpr Duration SeedIntervalAlone = std::chrono::milliseconds(200);
+constexpr Duration SeedIntervalAlone = std::chrono::milliseconds(100);
 constexpr Duration SeedInterval = std::chrono::seconds(10);
 constexpr Duration JoinTime = std::chrono::seconds(1);
 constexpr std::size_t AskersMaximum = 256;
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -10,9 +10,11 @@
 namespace {
 
 constexpr Duration MaintenanceInterval = std::chrono::milliseconds(250);
-// Hosts start within 0.3 s of each other; one that is alone by then asks the
-// store itself.
-constexpr Duration PeerHearingTime = std::chrono::milliseconds(400);
+// Time to find other hosts before this one asks the store itself. When the
+// fleet starts for the first time, its hosts do so within 0.3 s of each other.
+// Later there are callers who wait, and the other hosts answer in milliseconds.
+constexpr Duration FirstHearingTime = std::chrono::milliseconds(400);
+constexpr Duration HearingTime = std::chrono::milliseconds(50);
 constexpr Duration DrainPollInterval = std::chrono::milliseconds(20);
 // Targets close connections that are idle for ten seconds (site files:
 // idle_close_ms); this side closes first.
@@ -262,7 +264,8 @@
 // watch is a priced call; the others learn from it.
 void Gateway::assignStoreRole() {
   const TimePoint Now = TimeSource.now();
-  if (Now - Started < PeerHearingTime)
+  if (Now - Started <
+      (Configured.IsFirstStart ? FirstHearingTime : HearingTime))
     return;
   auto &Members = *Kernel.find<MemberTable>("members").value();
   auto &Store = *Kernel.find<StoreService>("store").value();
--- a/Services/Gateway/GatewaySettings.cpp
+++ b/Services/Gateway/GatewaySettings.cpp
@@ -28,6 +28,7 @@
   Root.required("readiness_address").endpoint(Out.ReadinessAddress, 0);
   Root.required("directory_address").endpoint(Out.DirectoryAddress, 0);
   Root.required("peer_address").endpoint(Out.PeerAddress, 0);
+  Root.optional("is_first_start").boolean(Out.IsFirstStart);
   Root.optional("seeds").array(0, SeedsMaximum, [&](JsonReader Element) {
     Endpoint Value;
     if (Element.endpoint(Value, 1))
--- a/Services/Gateway/GatewaySettings.h
+++ b/Services/Gateway/GatewaySettings.h
@@ -25,6 +25,8 @@
   Endpoint DirectoryAddress;
   Endpoint PeerAddress;
   std::vector<Endpoint> Seeds;
+  /// The whole fleet starts for the first time, well before there are callers.
+  bool IsFirstStart = false;
   Endpoint Store;
   /// Time between SIGTERM and SIGKILL.
   Duration StopTime = std::chrono::seconds(6);
