--- a/Libraries/LibGateway/Placement.cpp
+++ b/Libraries/LibGateway/Placement.cpp
@@ -1,6 +1,7 @@
 #include <LibGateway/Placement.h>
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
 namespace comfreyrill {
@@ -19,6 +20,24 @@
 // it is expected to answer this much sooner.
 constexpr double FarFactor = 1.15;
 
+// The load and the speed of targets change within some hundred milliseconds
+// (site files: noise, every_ms); what was heard before says little.
+constexpr double MemorySeconds = 0.3;
+// Expected of a target of which nothing is known: a third of them are slow at
+// any time, by a factor of four.
+constexpr double UnknownEffort = 1.6;
+// Keeps hosts with the same memory from probing the same target.
+constexpr double Jitter = 0.25;
+
+double rememberedEffort(const PlacementCandidate &Candidate) {
+  if (!Candidate.LastLoad)
+    return UnknownEffort;
+  const double Age = std::chrono::duration<double>(Candidate.LoadAge).count();
+  const double Trust = std::exp(-std::max(Age, 0.0) / MemorySeconds);
+  const double Known = expectedEffort({Candidate, *Candidate.LastLoad, true});
+  return UnknownEffort + Trust * (Known - UnknownEffort);
+}
+
 double placementCost(const ProbedCandidate &Candidate) {
   return expectedEffort(Candidate) *
          (Candidate.Target.IsNear ? 1.0 : FarFactor);
@@ -48,16 +67,28 @@
 std::vector<PlacementCandidate>
 chooseProbes(std::vector<PlacementCandidate> Candidates, std::size_t Count,
              Random &Generator) {
-  std::shuffle(Candidates.begin(), Candidates.end(), Generator);
-  std::stable_sort(
-      Candidates.begin(), Candidates.end(),
-      [](const PlacementCandidate &One, const PlacementCandidate &Other) {
-        return std::tuple(One.IsDoubtful, !One.IsNear) <
-               std::tuple(Other.IsDoubtful, !Other.IsNear);
-      });
-  if (Candidates.size() > Count)
-    Candidates.resize(Count);
-  return Candidates;
+  struct Ranked {
+    std::tuple<bool, bool, double> Order;
+    std::size_t Index;
+  };
+  std::uniform_real_distribution<double> Chance(1 - Jitter, 1 + Jitter);
+  std::vector<Ranked> Ranking;
+  for (std::size_t Index = 0; Index < Candidates.size(); ++Index) {
+    const PlacementCandidate &Candidate = Candidates[Index];
+    Ranking.push_back({{Candidate.IsDoubtful, !Candidate.IsNear,
+                        rememberedEffort(Candidate) * Chance(Generator)},
+                       Index});
+  }
+  const std::size_t Kept = std::min(Count, Ranking.size());
+  std::partial_sort(Ranking.begin(),
+                    Ranking.begin() + static_cast<std::ptrdiff_t>(Kept),
+                    Ranking.end(), [](const Ranked &One, const Ranked &Other) {
+                      return One.Order < Other.Order;
+                    });
+  std::vector<PlacementCandidate> Chosen;
+  for (std::size_t Index = 0; Index < Kept; ++Index)
+    Chosen.push_back(std::move(Candidates[Ranking[Index].Index]));
+  return Chosen;
 }
 
 std::optional<std::size_t>
--- a/Libraries/LibGateway/Placement.h
+++ b/Libraries/LibGateway/Placement.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCore/Clock.h>
 #include <LibCore/Ids.h>
 #include <LibCore/Random.h>
 #include <LibRouting/LoadReport.h>
@@ -20,6 +21,9 @@
   /// Failed lately, or its registration is missing; used only when no other
   /// target is left.
   bool IsDoubtful = false;
+  /// What was last heard of its load, and how long ago.
+  std::optional<LoadReport> LastLoad;
+  Duration LoadAge{0};
 };
 
 /// A candidate and what a probe has just found.
@@ -38,7 +42,9 @@
 bool hasFreeSlot(const LoadReport &Load);
 
 /// Candidates to probe, at most Count: trusted ones before doubtful ones, then
-/// near ones before far ones, in random order within each group.
+/// near ones before far ones, then those that were last seen idle and fast.
+/// What was heard long ago counts little, so all of them are looked at again
+/// from time to time.
 std::vector<PlacementCandidate>
 chooseProbes(std::vector<PlacementCandidate> Candidates, std::size_t Count,
              Random &Generator);
--- a/Services/Gateway/Knowledge.cpp
+++ b/Services/Gateway/Knowledge.cpp
@@ -84,11 +84,18 @@
     TargetExperience &Seen = Experience[Id];
     endEjection(Seen.Outlier, Now);
     Found.push_back({Id, Registered.Domain == HostDomain, Now < Known.ColdUntil,
-                     Seen.Outlier.Ejected || Known.LapsesAt.has_value()});
+                     Seen.Outlier.Ejected || Known.LapsesAt.has_value(),
+                     Seen.Load, Now - Seen.LoadAt});
   }
   return Found;
 }
 
+void Knowledge::recordLoad(const TargetId &Id, const LoadReport &Load) {
+  TargetExperience &Seen = Experience[Id];
+  Seen.Load = Load;
+  Seen.LoadAt = TimeSource.now();
+}
+
 void Knowledge::recordSuccess(const TargetId &Id) {
   countSuccess(Experience[Id].Outlier);
 }
--- a/Services/Gateway/Knowledge.h
+++ b/Services/Gateway/Knowledge.h
@@ -19,6 +19,8 @@
   OutlierState Outlier;
   /// Requests of this host that are there now.
   std::uint32_t InFlight = 0;
+  std::optional<LoadReport> Load;
+  TimePoint LoadAt;
 };
 
 /// What this host keeps for each service.
@@ -72,6 +74,7 @@
 
   TargetExperience &experience(const TargetId &Id) { return Experience[Id]; }
   ServiceExperience &service(const ServiceName &Name) { return Services[Name]; }
+  void recordLoad(const TargetId &Id, const LoadReport &Load);
   void recordSuccess(const TargetId &Id);
   void recordFailure(const TargetId &Id, bool IsConnectionFailure);
 
--- a/Services/Gateway/RequestExecution.cpp
+++ b/Services/Gateway/RequestExecution.cpp
@@ -195,7 +195,10 @@
 
   AttemptReport Report;
   if (Answer) {
-    Report.Outcome = classifyAnswer(platform::decodeAnswer(Answer.value()));
+    const TargetAnswer Read = platform::decodeAnswer(Answer.value());
+    Report.Outcome = classifyAnswer(Read);
+    if (Read.Load && !Read.IsOtherTarget)
+      Environment.Known.recordLoad(Id, *Read.Load);
     Report.Answer = std::move(Answer.value());
     Environment.Pool.release(Target.Address, std::move(Active));
   } else if (HasCallerLeft) {
--- a/Services/Gateway/TargetProbe.cpp
+++ b/Services/Gateway/TargetProbe.cpp
@@ -88,6 +88,8 @@
       const bool IsOther =
           !Read.Answerer.Value.empty() && Read.Answerer != Candidate.Id;
       IsAnswered = true;
+      if (Read.Load && !IsOther)
+        Environment.Known.recordLoad(Candidate.Id, *Read.Load);
       FoundTarget Target{
           {Candidate, Read.Load.value_or(LoadReport{}), Read.IsHealthy},
           Address,
