--- a/Libraries/LibGateway/Placement.cpp
+++ b/Libraries/LibGateway/Placement.cpp
@@ -46,7 +46,8 @@
 } // namespace
 
 bool hasFreeSlot(const LoadReport &Load) {
-  return Load.InFlight < std::max(Load.Slots, 1U) && Load.Queued == 0;
+  const double Uncrowded = std::max(1.0, std::floor(CrowdedShare * Load.Slots));
+  return Load.InFlight + 1 <= Uncrowded && Load.Queued == 0;
 }
 
 double expectedEffort(const ProbedCandidate &Candidate) {
