--- a/Libraries/LibPeer/Codec.cpp
+++ b/Libraries/LibPeer/Codec.cpp
@@ -34,14 +34,15 @@
          Set.grant_request + Set.grant_reply + Set.seal_request +
          Set.seal_reply + Set.outcome_notice + Set.crash_evidence + Set.error +
          Set.probe_notice + Set.domain_report + Set.join_request +
-         Set.introduction + Set.target_update;
+         Set.introduction + Set.target_update + Set.load_notice;
 }
 
 bool hasOversizedList(const wire::PeerBody &Body) {
   constexpr auto Limit = static_cast<std::size_t>(MaximumListElements);
   if (Body.domain_report.hosts.size() > Limit ||
       Body.introduction.hosts.size() > Limit ||
-      Body.target_update.records.size() > Limit)
+      Body.target_update.records.size() > Limit ||
+      Body.load_notice.loads.size() > Limit)
     return true;
   if (!Body.__isset.heartbeat)
     return false;
--- a/Libraries/LibPeer/Generated/Peer_types.cpp
+++ b/Libraries/LibPeer/Generated/Peer_types.cpp
@@ -2861,6 +2861,294 @@
   return *this;
 }
 
+ObservedLoad::~ObservedLoad() noexcept {
+}
+
+
+void ObservedLoad::__set_target(const std::string& val) {
+  this->target = val;
+}
+
+void ObservedLoad::__set_in_flight(const int32_t val) {
+  this->in_flight = val;
+}
+
+void ObservedLoad::__set_queued(const int32_t val) {
+  this->queued = val;
+}
+
+void ObservedLoad::__set_slots(const int32_t val) {
+  this->slots = val;
+}
+
+void ObservedLoad::__set_slowdown_percent(const int32_t val) {
+  this->slowdown_percent = val;
+}
+
+void ObservedLoad::__set_age_ms(const int32_t val) {
+  this->age_ms = val;
+}
+
+uint32_t ObservedLoad::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_target = false;
+  bool isset_in_flight = false;
+  bool isset_queued = false;
+  bool isset_slots = false;
+  bool isset_slowdown_percent = false;
+  bool isset_age_ms = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->target);
+          isset_target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->in_flight);
+          isset_in_flight = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->queued);
+          isset_queued = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->slots);
+          isset_slots = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->slowdown_percent);
+          isset_slowdown_percent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->age_ms);
+          isset_age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_target)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_in_flight)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_queued)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_slots)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_slowdown_percent)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_age_ms)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t ObservedLoad::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ObservedLoad");
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->target);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("in_flight", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->in_flight);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("queued", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->queued);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("slots", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->slots);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("slowdown_percent", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->slowdown_percent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ObservedLoad &a, ObservedLoad &b) {
+  using ::std::swap;
+  swap(a.target, b.target);
+  swap(a.in_flight, b.in_flight);
+  swap(a.queued, b.queued);
+  swap(a.slots, b.slots);
+  swap(a.slowdown_percent, b.slowdown_percent);
+  swap(a.age_ms, b.age_ms);
+}
+
+ObservedLoad::ObservedLoad(const ObservedLoad& other75) {
+  target = other75.target;
+  in_flight = other75.in_flight;
+  queued = other75.queued;
+  slots = other75.slots;
+  slowdown_percent = other75.slowdown_percent;
+  age_ms = other75.age_ms;
+}
+ObservedLoad& ObservedLoad::operator=(const ObservedLoad& other76) {
+  target = other76.target;
+  in_flight = other76.in_flight;
+  queued = other76.queued;
+  slots = other76.slots;
+  slowdown_percent = other76.slowdown_percent;
+  age_ms = other76.age_ms;
+  return *this;
+}
+
+LoadNotice::~LoadNotice() noexcept {
+}
+
+
+void LoadNotice::__set_loads(const std::vector<ObservedLoad> & val) {
+  this->loads = val;
+}
+
+uint32_t LoadNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_loads = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->loads.clear();
+            uint32_t _size77;
+            ::apache::thrift::protocol::TType _etype80;
+            xfer += iprot->readListBegin(_etype80, _size77);
+            this->loads.resize(_size77);
+            uint32_t _i81;
+            for (_i81 = 0; _i81 < _size77; ++_i81)
+            {
+              xfer += this->loads[_i81].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_loads = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_loads)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t LoadNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LoadNotice");
+
+  xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
+    std::vector<ObservedLoad> ::const_iterator _iter82;
+    for (_iter82 = this->loads.begin(); _iter82 != this->loads.end(); ++_iter82)
+    {
+      xfer += (*_iter82).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LoadNotice &a, LoadNotice &b) {
+  using ::std::swap;
+  swap(a.loads, b.loads);
+}
+
+LoadNotice::LoadNotice(const LoadNotice& other83) {
+  loads = other83.loads;
+}
+LoadNotice& LoadNotice::operator=(const LoadNotice& other84) {
+  loads = other84.loads;
+  return *this;
+}
+
 TargetUpdate::~TargetUpdate() noexcept {
 }
 
@@ -2921,14 +3209,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size75;
-            ::apache::thrift::protocol::TType _etype78;
-            xfer += iprot->readListBegin(_etype78, _size75);
-            this->records.resize(_size75);
-            uint32_t _i79;
-            for (_i79 = 0; _i79 < _size75; ++_i79)
+            uint32_t _size85;
+            ::apache::thrift::protocol::TType _etype88;
+            xfer += iprot->readListBegin(_etype88, _size85);
+            this->records.resize(_size85);
+            uint32_t _i89;
+            for (_i89 = 0; _i89 < _size85; ++_i89)
             {
-              xfer += this->records[_i79].read(iprot);
+              xfer += this->records[_i89].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2971,10 +3259,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<TargetRecord> ::const_iterator _iter80;
-    for (_iter80 = this->records.begin(); _iter80 != this->records.end(); ++_iter80)
+    std::vector<TargetRecord> ::const_iterator _iter90;
+    for (_iter90 = this->records.begin(); _iter90 != this->records.end(); ++_iter90)
     {
-      xfer += (*_iter80).write(oprot);
+      xfer += (*_iter90).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2992,15 +3280,15 @@
   swap(a.records, b.records);
 }
 
-TargetUpdate::TargetUpdate(const TargetUpdate& other81) {
-  base_revision = other81.base_revision;
-  revision = other81.revision;
-  records = other81.records;
+TargetUpdate::TargetUpdate(const TargetUpdate& other91) {
+  base_revision = other91.base_revision;
+  revision = other91.revision;
+  records = other91.records;
 }
-TargetUpdate& TargetUpdate::operator=(const TargetUpdate& other82) {
-  base_revision = other82.base_revision;
-  revision = other82.revision;
-  records = other82.records;
+TargetUpdate& TargetUpdate::operator=(const TargetUpdate& other92) {
+  base_revision = other92.base_revision;
+  revision = other92.revision;
+  records = other92.records;
   return *this;
 }
 
@@ -3083,6 +3371,11 @@
 __isset.target_update = true;
 }
 
+void PeerBody::__set_load_notice(const LoadNotice& val) {
+  this->load_notice = val;
+__isset.load_notice = true;
+}
+
 uint32_t PeerBody::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
@@ -3224,6 +3517,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->load_notice.read(iprot);
+          this->__isset.load_notice = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3316,6 +3617,11 @@
     xfer += this->target_update.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.load_notice) {
+    xfer += oprot->writeFieldBegin("load_notice", ::apache::thrift::protocol::T_STRUCT, 16);
+    xfer += this->load_notice.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3338,44 +3644,47 @@
   swap(a.join_request, b.join_request);
   swap(a.introduction, b.introduction);
   swap(a.target_update, b.target_update);
+  swap(a.load_notice, b.load_notice);
   swap(a.__isset, b.__isset);
 }
 
-PeerBody::PeerBody(const PeerBody& other83) {
-  heartbeat = other83.heartbeat;
-  document_request = other83.document_request;
-  document_reply = other83.document_reply;
-  grant_request = other83.grant_request;
-  grant_reply = other83.grant_reply;
-  seal_request = other83.seal_request;
-  seal_reply = other83.seal_reply;
-  outcome_notice = other83.outcome_notice;
-  crash_evidence = other83.crash_evidence;
-  error = other83.error;
-  probe_notice = other83.probe_notice;
-  domain_report = other83.domain_report;
-  join_request = other83.join_request;
-  introduction = other83.introduction;
-  target_update = other83.target_update;
-  __isset = other83.__isset;
-}
-PeerBody& PeerBody::operator=(const PeerBody& other84) {
-  heartbeat = other84.heartbeat;
-  document_request = other84.document_request;
-  document_reply = other84.document_reply;
-  grant_request = other84.grant_request;
-  grant_reply = other84.grant_reply;
-  seal_request = other84.seal_request;
-  seal_reply = other84.seal_reply;
-  outcome_notice = other84.outcome_notice;
-  crash_evidence = other84.crash_evidence;
-  error = other84.error;
-  probe_notice = other84.probe_notice;
-  domain_report = other84.domain_report;
-  join_request = other84.join_request;
-  introduction = other84.introduction;
-  target_update = other84.target_update;
-  __isset = other84.__isset;
+PeerBody::PeerBody(const PeerBody& other93) {
+  heartbeat = other93.heartbeat;
+  document_request = other93.document_request;
+  document_reply = other93.document_reply;
+  grant_request = other93.grant_request;
+  grant_reply = other93.grant_reply;
+  seal_request = other93.seal_request;
+  seal_reply = other93.seal_reply;
+  outcome_notice = other93.outcome_notice;
+  crash_evidence = other93.crash_evidence;
+  error = other93.error;
+  probe_notice = other93.probe_notice;
+  domain_report = other93.domain_report;
+  join_request = other93.join_request;
+  introduction = other93.introduction;
+  target_update = other93.target_update;
+  load_notice = other93.load_notice;
+  __isset = other93.__isset;
+}
+PeerBody& PeerBody::operator=(const PeerBody& other94) {
+  heartbeat = other94.heartbeat;
+  document_request = other94.document_request;
+  document_reply = other94.document_reply;
+  grant_request = other94.grant_request;
+  grant_reply = other94.grant_reply;
+  seal_request = other94.seal_request;
+  seal_reply = other94.seal_reply;
+  outcome_notice = other94.outcome_notice;
+  crash_evidence = other94.crash_evidence;
+  error = other94.error;
+  probe_notice = other94.probe_notice;
+  domain_report = other94.domain_report;
+  join_request = other94.join_request;
+  introduction = other94.introduction;
+  target_update = other94.target_update;
+  load_notice = other94.load_notice;
+  __isset = other94.__isset;
   return *this;
 }
 
@@ -3470,13 +3779,13 @@
   swap(a.body, b.body);
 }
 
-PeerMessage::PeerMessage(const PeerMessage& other85) {
-  correlation = other85.correlation;
-  body = other85.body;
+PeerMessage::PeerMessage(const PeerMessage& other95) {
+  correlation = other95.correlation;
+  body = other95.body;
 }
-PeerMessage& PeerMessage::operator=(const PeerMessage& other86) {
-  correlation = other86.correlation;
-  body = other86.body;
+PeerMessage& PeerMessage::operator=(const PeerMessage& other96) {
+  correlation = other96.correlation;
+  body = other96.body;
   return *this;
 }
 }} // namespace
--- a/Libraries/LibPeer/Generated/Peer_types.h
+++ b/Libraries/LibPeer/Generated/Peer_types.h
@@ -122,6 +122,10 @@
 
 class TargetRecord;
 
+class ObservedLoad;
+
+class LoadNotice;
+
 class TargetUpdate;
 
 class PeerBody;
@@ -1261,6 +1265,107 @@
 std::ostream& operator<<(std::ostream& out, const TargetRecord& obj);
 
 
+class ObservedLoad : public virtual ::apache::thrift::TBase {
+ public:
+
+  ObservedLoad(const ObservedLoad&);
+  ObservedLoad& operator=(const ObservedLoad&);
+  ObservedLoad() noexcept
+               : target(),
+                 in_flight(0),
+                 queued(0),
+                 slots(0),
+                 slowdown_percent(0),
+                 age_ms(0) {
+  }
+
+  virtual ~ObservedLoad() noexcept;
+  std::string target;
+  int32_t in_flight;
+  int32_t queued;
+  int32_t slots;
+  int32_t slowdown_percent;
+  int32_t age_ms;
+
+  void __set_target(const std::string& val);
+
+  void __set_in_flight(const int32_t val);
+
+  void __set_queued(const int32_t val);
+
+  void __set_slots(const int32_t val);
+
+  void __set_slowdown_percent(const int32_t val);
+
+  void __set_age_ms(const int32_t val);
+
+  bool operator == (const ObservedLoad & rhs) const
+  {
+    if (!(target == rhs.target))
+      return false;
+    if (!(in_flight == rhs.in_flight))
+      return false;
+    if (!(queued == rhs.queued))
+      return false;
+    if (!(slots == rhs.slots))
+      return false;
+    if (!(slowdown_percent == rhs.slowdown_percent))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const ObservedLoad &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ObservedLoad & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+};
+
+void swap(ObservedLoad &a, ObservedLoad &b);
+
+std::ostream& operator<<(std::ostream& out, const ObservedLoad& obj);
+
+
+class LoadNotice : public virtual ::apache::thrift::TBase {
+ public:
+
+  LoadNotice(const LoadNotice&);
+  LoadNotice& operator=(const LoadNotice&);
+  LoadNotice() noexcept {
+  }
+
+  virtual ~LoadNotice() noexcept;
+  std::vector<ObservedLoad>  loads;
+
+  void __set_loads(const std::vector<ObservedLoad> & val);
+
+  bool operator == (const LoadNotice & rhs) const
+  {
+    if (!(loads == rhs.loads))
+      return false;
+    return true;
+  }
+  bool operator != (const LoadNotice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LoadNotice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+};
+
+void swap(LoadNotice &a, LoadNotice &b);
+
+std::ostream& operator<<(std::ostream& out, const LoadNotice& obj);
+
+
 class TargetUpdate : public virtual ::apache::thrift::TBase {
  public:
 
@@ -1308,7 +1413,7 @@
 std::ostream& operator<<(std::ostream& out, const TargetUpdate& obj);
 
 typedef struct _PeerBody__isset {
-  _PeerBody__isset() : heartbeat(false), document_request(false), document_reply(false), grant_request(false), grant_reply(false), seal_request(false), seal_reply(false), outcome_notice(false), crash_evidence(false), error(false), probe_notice(false), domain_report(false), join_request(false), introduction(false), target_update(false) {}
+  _PeerBody__isset() : heartbeat(false), document_request(false), document_reply(false), grant_request(false), grant_reply(false), seal_request(false), seal_reply(false), outcome_notice(false), crash_evidence(false), error(false), probe_notice(false), domain_report(false), join_request(false), introduction(false), target_update(false), load_notice(false) {}
   bool heartbeat :1;
   bool document_request :1;
   bool document_reply :1;
@@ -1324,6 +1429,7 @@
   bool join_request :1;
   bool introduction :1;
   bool target_update :1;
+  bool load_notice :1;
 } _PeerBody__isset;
 
 class PeerBody : public virtual ::apache::thrift::TBase {
@@ -1350,6 +1456,7 @@
   JoinRequest join_request;
   Introduction introduction;
   TargetUpdate target_update;
+  LoadNotice load_notice;
 
   _PeerBody__isset __isset;
 
@@ -1383,6 +1490,8 @@
 
   void __set_target_update(const TargetUpdate& val);
 
+  void __set_load_notice(const LoadNotice& val);
+
   bool operator == (const PeerBody & rhs) const
   {
     if (__isset.heartbeat != rhs.__isset.heartbeat)
@@ -1445,6 +1554,10 @@
       return false;
     else if (__isset.target_update && !(target_update == rhs.target_update))
       return false;
+    if (__isset.load_notice != rhs.__isset.load_notice)
+      return false;
+    else if (__isset.load_notice && !(load_notice == rhs.load_notice))
+      return false;
     return true;
   }
   bool operator != (const PeerBody &rhs) const {
--- a/Libraries/LibPeer/Peer.thrift
+++ b/Libraries/LibPeer/Peer.thrift
@@ -161,6 +161,20 @@
   9: optional i64 started_at_ms
 }
 
+// Load of a target as one host has just seen it.
+struct ObservedLoad {
+  1: required string target
+  2: required i32 in_flight
+  3: required i32 queued
+  4: required i32 slots
+  5: required i32 slowdown_percent
+  6: required i32 age_ms
+}
+
+// What a host has seen since its last notice, for the hosts of its failure
+// domain.
+struct LoadNotice { 1: required list<ObservedLoad> loads }
+
 // Changes of the targets from one revision to another; from 0 it is the
 // complete list.
 struct TargetUpdate {
@@ -185,6 +199,7 @@
   13: JoinRequest join_request
   14: Introduction introduction
   15: TargetUpdate target_update
+  16: LoadNotice load_notice
 }
 
 // A correlation of 0 marks a message that expects no reply; a reply repeats the
--- a/Services/Gateway/FleetService.cpp
+++ b/Services/Gateway/FleetService.cpp
@@ -40,10 +40,10 @@
 
 FleetService::FleetService(const GatewayContext &Environment,
                            MemberTable &Members, DomainTable &Domains,
-                           KnowledgeExchange &Exchange, PeerMesh &Mesh,
-                           std::vector<Endpoint> Seeds)
+                           KnowledgeExchange &Exchange, LoadExchange &Loads,
+                           PeerMesh &Mesh, std::vector<Endpoint> Seeds)
     : Environment(Environment), Members(Members), Domains(Domains),
-      Exchange(Exchange), Mesh(Mesh), Seeds(std::move(Seeds)),
+      Exchange(Exchange), Loads(Loads), Mesh(Mesh), Seeds(std::move(Seeds)),
       TickTimer(Environment.Context) {}
 
 void FleetService::start() {
@@ -107,6 +107,8 @@
     onReport(Body.domain_report);
   else if (Body.__isset.join_request)
     onJoin(Body.join_request, Reply);
+  else if (Body.__isset.load_notice)
+    Loads.onLoadNotice(Body.load_notice);
   else if (Body.__isset.target_update)
     Exchange.onTargetUpdate(Body.target_update);
   else if (Body.__isset.document_request)
--- a/Services/Gateway/FleetService.h
+++ b/Services/Gateway/FleetService.h
@@ -2,6 +2,7 @@
 
 #include "GatewayContext.h"
 #include "KnowledgeExchange.h"
+#include "LoadExchange.h"
 
 #include <LibMembership/DomainTable.h>
 #include <LibMembership/Heartbeats.h>
@@ -19,7 +20,8 @@
 public:
   FleetService(const GatewayContext &Environment, MemberTable &Members,
                DomainTable &Domains, KnowledgeExchange &Exchange,
-               PeerMesh &Mesh, std::vector<Endpoint> Seeds);
+               LoadExchange &Loads, PeerMesh &Mesh,
+               std::vector<Endpoint> Seeds);
 
   /// Called several times a second with the latest view of the hosts.
   using TickHandler = std::function<void()>;
@@ -59,6 +61,7 @@
   MemberTable &Members;
   DomainTable &Domains;
   KnowledgeExchange &Exchange;
+  LoadExchange &Loads;
   PeerMesh &Mesh;
   std::vector<Endpoint> Seeds;
   TickHandler OnTick;
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -69,6 +69,8 @@
   TRY(listen());
   TRY(const auto Fleet, Kernel.find<FleetService>("fleet"));
   Fleet->start();
+  TRY(const auto Loads, Kernel.find<LoadExchange>("load_exchange"));
+  Loads->start();
   asio::co_spawn(Loop, runMaintenance(), asio::detached);
   return outcome::success();
 }
@@ -109,8 +111,11 @@
   const auto Domains = std::make_shared<DomainTable>();
   const auto Exchange = std::make_shared<KnowledgeExchange>(
       *Environment, *Members, *Domains, *Mesh);
-  const auto Fleet = std::make_shared<FleetService>(
-      *Environment, *Members, *Domains, *Exchange, *Mesh, Configured.Seeds);
+  const auto Loads =
+      std::make_shared<LoadExchange>(*Environment, *Members, *Mesh);
+  const auto Fleet = std::make_shared<FleetService>(*Environment, *Members,
+                                                    *Domains, *Exchange, *Loads,
+                                                    *Mesh, Configured.Seeds);
   Environment->Hosts = [Fleet = Fleet.get()] { return Fleet->budgetHosts(); };
   const auto StoreConnections =
       std::make_shared<ConnectionPool>(Context, TimeSource, PoolIdleTime);
@@ -123,6 +128,7 @@
   Fleet->onTick([this] { assignStoreRole(); });
   TRY(Kernel.add("domains", Domains));
   TRY(Kernel.add("exchange", Exchange));
+  TRY(Kernel.add("load_exchange", Loads));
   TRY(Kernel.add("mesh", Mesh));
   TRY(Kernel.add("fleet", Fleet));
   TRY(Kernel.add("store_connections", StoreConnections));
--- a/Services/Gateway/Knowledge.cpp
+++ b/Services/Gateway/Knowledge.cpp
@@ -94,6 +94,28 @@
   TargetExperience &Seen = Experience[Id];
   Seen.Load = Load;
   Seen.LoadAt = TimeSource.now();
+  if (!Seen.IsLoadNews)
+    SeenLoads.push_back(Id);
+  Seen.IsLoadNews = true;
+}
+
+void Knowledge::recordSharedLoad(const TargetId &Id, const LoadReport &Load,
+                                 TimePoint SeenAt) {
+  if (!Directory.Targets.contains(Id))
+    return;
+  TargetExperience &Seen = Experience[Id];
+  if (Seen.Load && Seen.LoadAt >= SeenAt)
+    return;
+  Seen.Load = Load;
+  Seen.LoadAt = SeenAt;
+}
+
+std::vector<TargetId> Knowledge::takeSeenLoads() {
+  std::vector<TargetId> Taken = std::move(SeenLoads);
+  SeenLoads.clear();
+  for (const TargetId &Id : Taken)
+    Experience[Id].IsLoadNews = false;
+  return Taken;
 }
 
 void Knowledge::recordSuccess(const TargetId &Id) {
--- a/Services/Gateway/Knowledge.h
+++ b/Services/Gateway/Knowledge.h
@@ -21,6 +21,8 @@
   std::uint32_t InFlight = 0;
   std::optional<LoadReport> Load;
   TimePoint LoadAt;
+  /// The load has not been told to the other hosts yet.
+  bool IsLoadNews = false;
 };
 
 /// What this host keeps for each service.
@@ -74,7 +76,13 @@
 
   TargetExperience &experience(const TargetId &Id) { return Experience[Id]; }
   ServiceExperience &service(const ServiceName &Name) { return Services[Name]; }
+  /// Takes a load that this host has just seen.
   void recordLoad(const TargetId &Id, const LoadReport &Load);
+  /// Takes a load that another host has seen, unless a later one is known.
+  void recordSharedLoad(const TargetId &Id, const LoadReport &Load,
+                        TimePoint SeenAt);
+  /// Targets whose load this host has seen since the last call.
+  std::vector<TargetId> takeSeenLoads();
   void recordSuccess(const TargetId &Id);
   void recordFailure(const TargetId &Id, bool IsConnectionFailure);
 
@@ -88,6 +96,7 @@
   std::string InForceText;
   TargetDirectory Directory;
   std::vector<TargetId> ChangedSinceDelta;
+  std::vector<TargetId> SeenLoads;
   StoreRevision LastDelta;
   std::unordered_map<TargetId, TargetExperience> Experience;
   std::map<ServiceName, ServiceExperience> Services;
--- /dev/null
+++ b/Services/Gateway/LoadExchange.cpp
@@ -0,0 +1,89 @@
+#include "LoadExchange.h"
+
+#include <algorithm>
+
+namespace comfreyrill {
+
+namespace {
+
+// Targets change their speed every few hundred milliseconds, so a notice that
+// waits much longer than this is worth little.
+constexpr Duration ShortestInterval = std::chrono::milliseconds(25);
+// The interval grows with the hosts of the domain: each sends to each other
+// one, and the processor time for it must stay below a hundredth of a core.
+constexpr Duration IntervalPerPeer = std::chrono::milliseconds(6);
+// In-memory figures older than this are not passed on.
+constexpr Duration AgeMaximum = std::chrono::milliseconds(500);
+
+std::int32_t milliseconds(Duration Time) {
+  return static_cast<std::int32_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(Time).count());
+}
+
+} // namespace
+
+LoadExchange::LoadExchange(const GatewayContext &Environment,
+                           const MemberTable &Members, PeerMesh &Mesh)
+    : Environment(Environment), Members(Members), Mesh(Mesh),
+      NoticeTimer(Environment.Context) {}
+
+void LoadExchange::start() {
+  asio::co_spawn(
+      Environment.Context, [Self = shared_from_this()] { return Self->run(); },
+      asio::detached);
+}
+
+Awaitable<void> LoadExchange::run() {
+  while (true) {
+    const auto Peers = static_cast<Duration::rep>(Members.Peers.size());
+    NoticeTimer.expires_after(
+        std::max(ShortestInterval, IntervalPerPeer * Peers));
+    const auto [Code] = co_await NoticeTimer.async_wait(UseTuple);
+    if (Code)
+      co_return;
+    sendNotice();
+  }
+}
+
+void LoadExchange::sendNotice() {
+  const TimePoint Now = Environment.TimeSource.now();
+  wire::LoadNotice Notice;
+  for (const TargetId &Id : Environment.Known.takeSeenLoads()) {
+    const TargetExperience &Seen = Environment.Known.experience(Id);
+    if (!Seen.Load || Now - Seen.LoadAt > AgeMaximum)
+      continue;
+    wire::ObservedLoad Load;
+    Load.target = Id.Value;
+    Load.in_flight = static_cast<std::int32_t>(Seen.Load->InFlight);
+    Load.queued = static_cast<std::int32_t>(Seen.Load->Queued);
+    Load.slots = static_cast<std::int32_t>(Seen.Load->Slots);
+    Load.slowdown_percent =
+        static_cast<std::int32_t>(Seen.Load->Slowdown * 100);
+    Load.age_ms = milliseconds(Now - Seen.LoadAt);
+    Notice.loads.push_back(std::move(Load));
+  }
+  if (Notice.loads.empty())
+    return;
+  wire::PeerBody Body;
+  Body.__set_load_notice(Notice);
+  for (const Peer &Other : Members.Peers)
+    if (liveness(Members, Other, Now) == Liveness::Alive &&
+        !Mesh.send(Other.Description.PeerAddress, Body))
+      ++Environment.Figures.counter("load_notices_dropped_total");
+}
+
+void LoadExchange::onLoadNotice(const wire::LoadNotice &Notice) {
+  const TimePoint Now = Environment.TimeSource.now();
+  for (const wire::ObservedLoad &Load : Notice.loads) {
+    LoadReport Report;
+    Report.InFlight = static_cast<std::uint32_t>(std::max(Load.in_flight, 0));
+    Report.Queued = static_cast<std::uint32_t>(std::max(Load.queued, 0));
+    Report.Slots = static_cast<std::uint32_t>(std::max(Load.slots, 0));
+    Report.Slowdown = std::max(Load.slowdown_percent, 0) / 100.0;
+    Environment.Known.recordSharedLoad(
+        TargetId(Load.target), Report,
+        Now - std::chrono::milliseconds(std::max(Load.age_ms, 0)));
+  }
+}
+
+} // namespace comfreyrill
