--- a/Libraries/LibGateway/Admission.cpp
+++ b/Libraries/LibGateway/Admission.cpp
@@ -7,38 +7,35 @@
 
 namespace {
 
-// A refusal within this part of the latency objective costs the caller nothing
-// (RULES, prices), so a request may look for a target for so long.
-constexpr int FreeWaitDivisor = 8;
-
-// How late an answer may be expected to be, relative to the latency objective,
-// for a request to be queued at a target. Urgent requests may queue longer, so
-// that under overload the slots go to them first.
-constexpr std::array<double, 3> QueueTolerance{2.0, 1.5, 1.0};
-
-double tolerance(std::uint32_t Priority) {
-  return QueueTolerance[std::min<std::size_t>(Priority,
-                                              QueueTolerance.size() - 1)];
+// How long a request looks for a free slot, relative to the latency objective.
+// A refusal within an eighth of the objective costs the caller nothing (RULES,
+// prices). Urgent requests look longer, so that under overload the slots that
+// become free go to them first.
+constexpr std::array<double, 3> Patience{0.5, 0.35, 0.125};
+
+Duration patience(const AdmissionInput &Input) {
+  const std::size_t Rank =
+      std::min<std::size_t>(Input.Priority, Patience.size() - 1);
+  return std::chrono::duration_cast<Duration>(Input.TargetLatency *
+                                              Patience[Rank]);
 }
 
 } // namespace
 
+// A request is never queued at a target: the queue would be served at the speed
+// of a crowded target, and it hides the slots that become free elsewhere.
 AdmissionKind decideAdmission(const AdmissionInput &Input) {
   const Duration Expected = Input.Waited + Input.ExpectedTime;
-  if (Expected <= Input.TargetLatency && Input.ExpectedTime <= Input.TimeLeft)
+  if (Input.HasFreeSlot && Expected <= Input.TargetLatency &&
+      Input.ExpectedTime <= Input.TimeLeft)
     return AdmissionKind::Dispatch;
-  if (Input.Waited + LookAgainInterval <
-          Input.TargetLatency / FreeWaitDivisor &&
+  if (Input.Waited + LookAgainInterval < patience(Input) &&
       LookAgainInterval < Input.TimeLeft)
     return AdmissionKind::LookAgain;
-  if (Input.ExpectedTime > Input.TimeLeft)
-    return AdmissionKind::Refuse;
   // A slot that is free now serves nobody else sooner.
-  if (Input.HasFreeSlot)
+  if (Input.HasFreeSlot && Input.ExpectedTime <= Input.TimeLeft)
     return AdmissionKind::Dispatch;
-  const auto Longest = std::chrono::duration_cast<Duration>(
-      Input.TargetLatency * tolerance(Input.Priority));
-  return Expected <= Longest ? AdmissionKind::Dispatch : AdmissionKind::Refuse;
+  return AdmissionKind::Refuse;
 }
 
 Duration retryAfter(Duration WorkTime, Random &Generator) {
--- a/Libraries/LibGateway/Placement.cpp
+++ b/Libraries/LibGateway/Placement.cpp
@@ -45,9 +45,15 @@
 
 } // namespace
 
+std::uint32_t usefulSlots(std::uint32_t Slots) {
+  const auto Uncrowded =
+      static_cast<std::uint32_t>(std::floor(CrowdedShare * Slots));
+  return Uncrowded >= Slots / CrowdedFactor ? std::max(Uncrowded, 1U)
+                                            : std::max(Slots, 1U);
+}
+
 bool hasFreeSlot(const LoadReport &Load) {
-  const double Uncrowded = std::max(1.0, std::floor(CrowdedShare * Load.Slots));
-  return Load.InFlight + 1 <= Uncrowded && Load.Queued == 0;
+  return Load.InFlight < usefulSlots(Load.Slots) && Load.Queued == 0;
 }
 
 double expectedEffort(const ProbedCandidate &Candidate) {
--- a/Libraries/LibGateway/Placement.h
+++ b/Libraries/LibGateway/Placement.h
@@ -38,7 +38,12 @@
 /// usual work time; queueing, slowdown and a cold start included.
 double expectedEffort(const ProbedCandidate &Candidate);
 
-/// True when the target has a free slot.
+/// Slots of a target that are worth filling. Targets slow down when nearly all
+/// slots are busy, so that one with six slots finishes more work with four busy
+/// than with six; with two slots, both are worth filling.
+std::uint32_t usefulSlots(std::uint32_t Slots);
+
+/// True when one of the useful slots of the target is free.
 bool hasFreeSlot(const LoadReport &Load);
 
 /// Candidates to probe, at most Count: trusted ones before doubtful ones, then
