--- a/Libraries/LibGateway/Placement.cpp
+++ b/Libraries/LibGateway/Placement.cpp
@@ -18,7 +18,13 @@
 constexpr double ColdFactor = 2.0;
 // Bytes between failure domains are priced, so a far target is used only when
 // it is expected to answer this much sooner.
-constexpr double FarFactor = 1.15;
+constexpr double FarFactor = 1.25;
+// An idle target at its usual speed has an effort of 1.
+constexpr double SatisfyingEffort = 1.3;
+
+double distanceFactor(const PlacementCandidate &Candidate) {
+  return Candidate.IsNear ? 1.0 : FarFactor;
+}
 
 // The load and the speed of targets change within some hundred milliseconds
 // (site files: noise, every_ms); what was heard before says little.
@@ -39,8 +45,7 @@
 }
 
 double placementCost(const ProbedCandidate &Candidate) {
-  return expectedEffort(Candidate) *
-         (Candidate.Target.IsNear ? 1.0 : FarFactor);
+  return expectedEffort(Candidate) * distanceFactor(Candidate.Target);
 }
 
 } // namespace
@@ -56,6 +61,11 @@
   return Load.InFlight < usefulSlots(Load.Slots) && Load.Queued == 0;
 }
 
+bool isSatisfying(const ProbedCandidate &Candidate) {
+  return Candidate.IsHealthy && hasFreeSlot(Candidate.Load) &&
+         expectedEffort(Candidate) <= SatisfyingEffort;
+}
+
 double expectedEffort(const ProbedCandidate &Candidate) {
   const LoadReport &Load = Candidate.Load;
   const double Slots = std::max(Load.Slots, 1U);
@@ -75,16 +85,16 @@
 chooseProbes(std::vector<PlacementCandidate> Candidates, std::size_t Count,
              Random &Generator) {
   struct Ranked {
-    std::tuple<bool, bool, double> Order;
+    std::tuple<bool, double> Order;
     std::size_t Index;
   };
   std::uniform_real_distribution<double> Chance(1 - Jitter, 1 + Jitter);
   std::vector<Ranked> Ranking;
   for (std::size_t Index = 0; Index < Candidates.size(); ++Index) {
     const PlacementCandidate &Candidate = Candidates[Index];
-    Ranking.push_back({{Candidate.IsDoubtful, !Candidate.IsNear,
-                        rememberedEffort(Candidate) * Chance(Generator)},
-                       Index});
+    const double Cost = rememberedEffort(Candidate) *
+                        distanceFactor(Candidate) * Chance(Generator);
+    Ranking.push_back({{Candidate.IsDoubtful, Cost}, Index});
   }
   const std::size_t Kept = std::min(Count, Ranking.size());
   std::partial_sort(Ranking.begin(),
--- a/Libraries/LibGateway/Placement.h
+++ b/Libraries/LibGateway/Placement.h
@@ -47,16 +47,16 @@
 bool hasFreeSlot(const LoadReport &Load);
 
 /// Candidates to probe, at most Count: trusted ones before doubtful ones, then
-/// near ones before far ones, then those that were last seen idle and fast.
+/// those that were last seen idle and fast, with a preference for near ones.
 /// What was heard long ago counts little, so all of them are looked at again
 /// from time to time.
 std::vector<PlacementCandidate>
 chooseProbes(std::vector<PlacementCandidate> Candidates, std::size_t Count,
              Random &Generator);
 
-/// Effort above which it pays to probe targets of other failure domains too.
-/// An idle target at its usual speed has an effort of 1.
-inline constexpr double SatisfyingEffort = 1.3;
+/// True when probing further targets is not worth its price: a useful slot is
+/// free and the target is about as fast as usual.
+bool isSatisfying(const ProbedCandidate &Candidate);
 
 /// Index of the target to use: healthy ones first, then the least expected
 /// effort, where a far target has to be clearly better than a near one. None
--- a/Services/Gateway/RequestExecution.cpp
+++ b/Services/Gateway/RequestExecution.cpp
@@ -1,18 +1,19 @@
 #include "RequestExecution.h"
 
-#include <LibGateway/Admission.h>
 #include <LibGateway/RouteTable.h>
 #include <platform/CallCodec.h>
 
+#include <algorithm>
+#include <array>
+
 namespace comfreyrill {
 
 namespace {
 
-// Probes for one request: at least one, which checks the connection before the
-// request is put at risk on it; enough near targets that one of them is usually
-// idle and at its usual speed, then some far ones when none is.
-constexpr std::size_t NearProbes = 5;
-constexpr std::size_t FarProbes = 4;
+// Probes for one request, in rounds that end when a target is found idle and at
+// its usual speed. The first one also checks the connection before the request
+// is put at risk on it.
+constexpr std::array<std::size_t, 2> ProbesByRound{2, 5};
 // A host without a configuration has one within a second of reaching the store.
 constexpr Duration RetryWithoutConfiguration = std::chrono::milliseconds(300);
 // Weight of one answer in the mean work time of a service.
@@ -110,11 +111,16 @@
 }
 
 Awaitable<std::vector<FoundTarget>>
-RequestExecution::probe(bool IsNear, ProbeDemand Demand) {
+RequestExecution::probe(const std::vector<FoundTarget> &Found,
+                        ProbeDemand Demand) {
   auto Candidates =
       Environment.Known.candidates(Service, Environment.HostDomain);
   std::erase_if(Candidates, [&](const PlacementCandidate &Candidate) {
-    return Candidate.IsNear != IsNear || Tried.contains(Candidate.Id);
+    return Tried.contains(Candidate.Id) ||
+           std::any_of(Found.begin(), Found.end(),
+                       [&](const FoundTarget &Target) {
+                         return Target.Candidate.Target.Id == Candidate.Id;
+                       });
   });
   const ProbePolicy Policy{Environment.ProbesPerTarget,
                            Environment.Known.targets().Targets.size(),
@@ -131,37 +137,20 @@
 
 Awaitable<std::optional<FoundTarget>> RequestExecution::findTarget() {
   while (!HasCallerLeft) {
-    auto Found = co_await probe(true, {1, NearProbes});
+    std::vector<FoundTarget> Found;
     std::vector<ProbedCandidate> Probed;
-    const auto Rate = [&] {
-      Probed.clear();
-      for (const FoundTarget &Target : Found)
+    std::optional<std::size_t> Best;
+    for (const std::size_t Wanted : ProbesByRound) {
+      auto More = co_await probe(Found, {Found.empty() ? 1U : 0U, Wanted});
+      for (FoundTarget &Target : More) {
         Probed.push_back(Target.Candidate);
-      return choosePlacement(Probed);
-    };
-    auto Best = Rate();
-    if (!Best || !Probed[*Best].IsHealthy ||
-        expectedEffort(Probed[*Best]) > SatisfyingEffort) {
-      auto Far = co_await probe(false, {Found.empty() ? 1U : 0U, FarProbes});
-      std::move(Far.begin(), Far.end(), std::back_inserter(Found));
-      Best = Rate();
-    }
-    const TimePoint Now = Environment.TimeSource.now();
-    AdmissionKind Decision = AdmissionKind::Refuse;
-    RefusalReason = "no_target";
-    if (Best) {
-      const double Effort = expectedEffort(Probed[*Best]);
-      AdmissionInput Input;
-      Input.ExpectedTime =
-          std::chrono::duration_cast<Duration>(workTime() * Effort);
-      Input.HasFreeSlot = hasFreeSlot(Probed[*Best].Load);
-      Input.Waited = Now - Received;
-      Input.TargetLatency = Chosen->TargetLatency;
-      Input.TimeLeft = Deadline - Now;
-      Input.Priority = Chosen->Priority;
-      Decision = decideAdmission(Input);
-      RefusalReason = "overloaded";
+        Found.push_back(std::move(Target));
+      }
+      Best = choosePlacement(Probed);
+      if (HasCallerLeft || (Best && isSatisfying(Probed[*Best])))
+        break;
     }
+    const AdmissionKind Decision = admit(Best ? &Probed[*Best] : nullptr);
     std::optional<FoundTarget> Picked;
     for (std::size_t Index = 0; Index < Found.size(); ++Index)
       if (Decision == AdmissionKind::Dispatch && Index == *Best)
@@ -177,6 +166,24 @@
   co_return std::nullopt;
 }
 
+AdmissionKind RequestExecution::admit(const ProbedCandidate *Best) {
+  if (Best == nullptr) {
+    RefusalReason = "no_target";
+    return AdmissionKind::Refuse;
+  }
+  RefusalReason = "overloaded";
+  const TimePoint Now = Environment.TimeSource.now();
+  AdmissionInput Input;
+  Input.ExpectedTime =
+      std::chrono::duration_cast<Duration>(workTime() * expectedEffort(*Best));
+  Input.HasFreeSlot = hasFreeSlot(Best->Load);
+  Input.Waited = Now - Received;
+  Input.TargetLatency = Chosen->TargetLatency;
+  Input.TimeLeft = Deadline - Now;
+  Input.Priority = Chosen->Priority;
+  return decideAdmission(Input);
+}
+
 Awaitable<RequestExecution::AttemptReport>
 RequestExecution::attempt(FoundTarget Target) {
   const TimePoint Begin = Environment.TimeSource.now();
--- a/Services/Gateway/RequestExecution.h
+++ b/Services/Gateway/RequestExecution.h
@@ -3,6 +3,7 @@
 #include "GatewayContext.h"
 #include "TargetProbe.h"
 
+#include <LibGateway/Admission.h>
 #include <LibGateway/Attempt.h>
 #include <LibGateway/Exchange.h>
 #include <LibHttp/HttpServer.h>
@@ -37,7 +38,10 @@
   bool mayBeginAttempt();
   /// A target to send the request to; none when it is to be refused.
   Awaitable<std::optional<FoundTarget>> findTarget();
-  Awaitable<std::vector<FoundTarget>> probe(bool IsNear, ProbeDemand Demand);
+  /// Probes targets that have not been found yet.
+  Awaitable<std::vector<FoundTarget>>
+  probe(const std::vector<FoundTarget> &Found, ProbeDemand Demand);
+  AdmissionKind admit(const ProbedCandidate *Best);
   Awaitable<AttemptReport> attempt(FoundTarget Target);
   HttpResponse answerFor(AttemptReport Last);
   HttpResponse refuse(http::status Status, std::string_view Reason,
