--- a/Libraries/LibGateway/Placement.cpp
+++ b/Libraries/LibGateway/Placement.cpp
@@ -19,6 +19,9 @@
 // Bytes between failure domains are priced, so a far target is used only when
 // it is expected to answer this much sooner.
 constexpr double FarFactor = 1.25;
+// A far target is probed before a near one only when the near one was last seen
+// crowded or slow: the probe itself costs bytes between failure domains.
+constexpr double FarProbeFactor = 1.7;
 // An idle target at its usual speed has an effort of 1.
 constexpr double SatisfyingEffort = 1.3;
 
@@ -93,7 +96,8 @@
   for (std::size_t Index = 0; Index < Candidates.size(); ++Index) {
     const PlacementCandidate &Candidate = Candidates[Index];
     const double Cost = rememberedEffort(Candidate) *
-                        distanceFactor(Candidate) * Chance(Generator);
+                        (Candidate.IsNear ? 1.0 : FarProbeFactor) *
+                        Chance(Generator);
     Ranking.push_back({{Candidate.IsDoubtful, Cost}, Index});
   }
   const std::size_t Kept = std::min(Count, Ranking.size());
--- a/Libraries/LibGateway/ProbeAllowance.cpp
+++ b/Libraries/LibGateway/ProbeAllowance.cpp
@@ -25,9 +25,14 @@
   Allowance.FilledAt = Now;
   Allowance.Tokens = std::min(Allowance.Tokens + Rate * std::max(Elapsed, 0.0),
                               Rate * KeptSeconds);
+  const double Filled = std::clamp(
+      Allowance.Tokens / std::max(Rate * KeptSeconds, 1.0), 0.0, 1.0);
+  const std::size_t Most = std::max(Demand.Most, Demand.Usual);
+  const auto Wanted =
+      Demand.Usual + static_cast<std::size_t>(
+                         Filled * static_cast<double>(Most - Demand.Usual));
   const auto Free = static_cast<std::size_t>(std::max(Allowance.Tokens, 0.0));
-  const std::size_t Taken =
-      std::clamp(Free, std::min(Demand.Least, Demand.Most), Demand.Most);
+  const std::size_t Taken = std::max(Demand.Least, std::min(Free, Wanted));
   Allowance.Tokens -= static_cast<double>(Taken);
   return Taken;
 }
--- a/Libraries/LibGateway/ProbeAllowance.h
+++ b/Libraries/LibGateway/ProbeAllowance.h
@@ -25,6 +25,9 @@
 struct ProbeDemand {
   /// Taken in any case, on credit when the share is used up.
   std::size_t Least = 0;
+  /// Taken while the share lasts.
+  std::size_t Usual = 0;
+  /// Taken when hardly any of the share has been used lately.
   std::size_t Most = 0;
 };
 
--- a/Services/Gateway/RequestExecution.cpp
+++ b/Services/Gateway/RequestExecution.cpp
@@ -13,7 +13,7 @@
 // Probes for one request, in rounds that end when a target is found idle and at
 // its usual speed. The first one also checks the connection before the request
 // is put at risk on it.
-constexpr std::array<std::size_t, 2> ProbesByRound{2, 5};
+constexpr std::array<ProbeDemand, 2> ProbesByRound{{{1, 2, 3}, {0, 5, 6}}};
 // A host without a configuration has one within a second of reaching the store.
 constexpr Duration RetryWithoutConfiguration = std::chrono::milliseconds(300);
 // Weight of one answer in the mean work time of a service.
@@ -125,7 +125,8 @@
   const ProbePolicy Policy{Environment.ProbesPerTarget,
                            Environment.Known.targets().Targets.size(),
                            Environment.Hosts()};
-  Demand.Most = std::min(Demand.Most, Candidates.size());
+  for (std::size_t *Count : {&Demand.Least, &Demand.Usual, &Demand.Most})
+    *Count = std::min(*Count, Candidates.size());
   const std::size_t Allowed = takeProbes(Environment.Probes, Policy, Demand,
                                          Environment.TimeSource.now());
   if (Allowed == 0)
@@ -140,8 +141,8 @@
     std::vector<FoundTarget> Found;
     std::vector<ProbedCandidate> Probed;
     std::optional<std::size_t> Best;
-    for (const std::size_t Wanted : ProbesByRound) {
-      auto More = co_await probe(Found, {Found.empty() ? 1U : 0U, Wanted});
+    for (const ProbeDemand &Demand : ProbesByRound) {
+      auto More = co_await probe(Found, Demand);
       for (FoundTarget &Target : More) {
         Probed.push_back(Target.Candidate);
         Found.push_back(std::move(Target));
