LibGateway: Avoid busy targets instead of flocking to idle ones

Change: memory raises the cost of targets seen busy or slow and is neutral otherwise; three to five probes in the first round. Followers take a delta of their source as it is (property test FollowersAgreeWithTheirSource failed: a follower kept draining what its source called ready again). Tests for the gateway, the codecs, membership between domains and the loads.

--- a/Libraries/LibGateway/Placement.cpp
+++ b/Libraries/LibGateway/Placement.cpp
@@ -32,19 +32,19 @@
 // The load and the speed of targets change within some hundred milliseconds
 // (site files: noise, every_ms); what was heard before says little.
 constexpr double MemorySeconds = 0.3;
-// Expected of a target of which nothing is known: a third of them are slow at
-// any time, by a factor of four.
-constexpr double UnknownEffort = 1.6;
-// Keeps hosts with the same memory from probing the same target.
-constexpr double Jitter = 0.25;
+// Keeps hosts with the same memory from probing the same targets.
+constexpr double Jitter = 0.35;
 
+// Memory only keeps requests away from targets that were seen busy or slow. If
+// it drew them to those that were seen idle, hosts that share what they see
+// would all send to the same few.
 double rememberedEffort(const PlacementCandidate &Candidate) {
   if (!Candidate.LastLoad)
-    return UnknownEffort;
+    return 1;
   const double Age = std::chrono::duration<double>(Candidate.LoadAge).count();
   const double Trust = std::exp(-std::max(Age, 0.0) / MemorySeconds);
   const double Known = expectedEffort({Candidate, *Candidate.LastLoad, true});
-  return UnknownEffort + Trust * (Known - UnknownEffort);
+  return Known <= SatisfyingEffort ? 1 : 1 + Trust * (Known - 1);
 }
 
 double placementCost(const ProbedCandidate &Candidate) {
--- a/Libraries/LibGateway/TargetDirectory.cpp
+++ b/Libraries/LibGateway/TargetDirectory.cpp
@@ -7,8 +7,10 @@
 
 namespace {
 
+enum class DrainingMemory { Keep, Follow };
+
 bool put(TargetDirectory &Directory, const TargetRegistration &Registered,
-         TimePoint Now) {
+         DrainingMemory Memory, TimePoint Now) {
   auto [Position, IsNew] = Directory.Targets.try_emplace(Registered.Id);
   KnownTarget &Known = Position->second;
   const bool IsSameProcess = !IsNew &&
@@ -18,7 +20,8 @@
   // A stale read must not bring back a target that has begun to drain: a
   // process never becomes ready again after that.
   const bool IsDraining =
-      Registered.IsDraining || (IsSameProcess && Known.Registration.IsDraining);
+      Registered.IsDraining || (Memory == DrainingMemory::Keep &&
+                                IsSameProcess && Known.Registration.IsDraining);
   const bool IsChanged = IsNew || !IsSameProcess || Known.LapsesAt ||
                          Known.Registration.IsDraining != IsDraining ||
                          Known.Registration.Service != Registered.Service;
@@ -86,7 +89,7 @@
   std::vector<TargetId> Changed;
   for (const TargetRegistration &Registered : Listed) {
     Present.insert(Registered.Id);
-    if (put(Directory, Registered, Now))
+    if (put(Directory, Registered, DrainingMemory::Keep, Now))
       Changed.push_back(Registered.Id);
   }
   for (const TargetId &Id : missingFrom(Directory, Present))
@@ -101,8 +104,9 @@
   if (Change.Revision < Directory.Revision)
     return false;
   Directory.Revision = Change.Revision;
-  return Change.Registration ? put(Directory, *Change.Registration, Now)
-                             : miss(Directory, Change.Id, Now);
+  return Change.Registration
+             ? put(Directory, *Change.Registration, DrainingMemory::Keep, Now)
+             : miss(Directory, Change.Id, Now);
 }
 
 std::vector<TargetId> dropLapsed(TargetDirectory &Directory, TimePoint Now) {
@@ -130,7 +134,9 @@
   return Delta;
 }
 
-// The sender has decided what is gone, so no grace applies here.
+// The sender has decided what is gone and what drains, so neither grace nor
+// memory applies here: a follower that kept its own view would differ from its
+// source for good.
 std::optional<std::vector<TargetId>> applyDelta(TargetDirectory &Directory,
                                                 const TargetDelta &Delta,
                                                 TimePoint Now) {
@@ -142,9 +148,10 @@
   std::vector<TargetId> Changed;
   for (const RegistrationChange &Change : Delta.Changes) {
     Present.insert(Change.Id);
-    const bool IsChanged = Change.Registration
-                               ? put(Directory, *Change.Registration, Now)
-                               : Directory.Targets.erase(Change.Id) > 0;
+    const bool IsChanged =
+        Change.Registration
+            ? put(Directory, *Change.Registration, DrainingMemory::Follow, Now)
+            : Directory.Targets.erase(Change.Id) > 0;
     if (IsChanged)
       Changed.push_back(Change.Id);
   }
--- a/Services/Gateway/RequestExecution.cpp
+++ b/Services/Gateway/RequestExecution.cpp
@@ -13,7 +13,7 @@
 // Probes for one request, in rounds that end when a target is found idle and at
 // its usual speed. The first one also checks the connection before the request
 // is put at risk on it.
-constexpr std::array<ProbeDemand, 2> ProbesByRound{{{1, 2, 3}, {0, 5, 6}}};
+constexpr std::array<ProbeDemand, 2> ProbesByRound{{{1, 3, 5}, {0, 5, 6}}};
 // A host without a configuration has one within a second of reaching the store.
 constexpr Duration RetryWithoutConfiguration = std::chrono::milliseconds(300);
 // Weight of one answer in the mean work time of a service.
--- /dev/null
+++ b/Tests/Gateway/TestGatewaySettings.cpp
@@ -0,0 +1,39 @@
+#include <GatewaySettings.h>
+
+#include <gtest/gtest.h>
+
+namespace comfreyrill {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::string_view Valid = R"({
+  "host":"edge-1","failure_domain":"west","caller_address":"10.1.0.10:8161",
+  "readiness_address":"10.1.0.10:8167","directory_address":"10.1.0.10:8164",
+  "peer_address":"10.1.0.10:8166","is_first_start":true,
+  "seeds":["10.1.0.10:8166","10.2.0.40:8166"],"store_address":"10.200.1.7:8169",
+  "stop_time_s":6,"address_lifetime_maximum_s":5,"retry_ratio":0.2,
+  "retry_slack":58,"retry_window_s":10,"probes_per_target_per_s":60})";
+
+TEST(GatewaySettings, ReadsWhatTheTemplateWrites) {
+  const auto Read = parseGatewaySettings(Valid);
+  ASSERT_TRUE(Read) << Read.error().Message;
+  EXPECT_EQ(Read.value().Host, HostId("edge-1"));
+  EXPECT_EQ(Read.value().Seeds.size(), 2U);
+  EXPECT_EQ(Read.value().StopTime, 6s);
+  EXPECT_DOUBLE_EQ(Read.value().Retries.Slack, 58);
+  EXPECT_TRUE(Read.value().IsFirstStart);
+}
+
+// Guards against an operator who has to correct one fault after the other.
+TEST(GatewaySettings, AllFaultsAreNamedAtOnce) {
+  const auto Read = parseGatewaySettings(
+      R"({"host":"","caller_address":"nowhere","stop_time_s":-1,"extra":1})");
+  ASSERT_FALSE(Read);
+  for (const char *Name : {"host", "caller_address", "stop_time_s", "extra",
+                           "store_address", "failure_domain"})
+    EXPECT_NE(Read.error().Message.find(Name), std::string::npos) << Name;
+}
+
+} // namespace
+} // namespace comfreyrill
--- /dev/null
+++ b/Tests/Gateway/TestRequestExecution.cpp
@@ -0,0 +1,275 @@
+#include <RequestExecution.h>
+
+#include <gtest/gtest.h>
+
+namespace comfreyrill {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// A target that speaks the platform's protocol, with a behaviour for the
+/// requests that are not probes.
+class StandInTarget {
+public:
+  using Behaviour =
+      std::function<Awaitable<HttpResponse>(const HttpRequest &Request)>;
+
+  StandInTarget(asio::io_context &Loop, const Clock &TimeSource,
+                Behaviour Answer)
+      : Server(std::make_shared<HttpServer>(
+            Loop.get_executor(), TimeSource, HttpLimits{},
+            [this, Answer = std::move(Answer)](
+                HttpRequest Request, std::shared_ptr<Disconnect> CallerLeft)
+                -> Awaitable<HttpResponse> {
+              if (Request.target() == "/health") {
+                HttpResponse Health(http::status::ok, 11);
+                Health.set("Backend-Load", "0,0,6,100");
+                Health.set("Request-Id", Request["Request-Id"]);
+                Health.prepare_payload();
+                co_return Health;
+              }
+              ++Runs;
+              CallerLeft->onOccurrence([this] { HasCallerLeft = true; });
+              co_return co_await Answer(Request);
+            },
+            [](http::status Status, const Error &) {
+              return HttpResponse(Status, 11);
+            })) {
+    EXPECT_TRUE(Server->listen({"127.0.0.1", 0}));
+  }
+  ~StandInTarget() { Server->close(); }
+
+  Endpoint address() const { return Server->localEndpoint(); }
+
+  int Runs = 0;
+  bool HasCallerLeft = false;
+
+private:
+  std::shared_ptr<HttpServer> Server;
+};
+
+HttpResponse signedAnswer(const HttpRequest &Request, std::string Body) {
+  HttpResponse Made(http::status::ok, 11);
+  Made.set("Response-Signature", "3e1b");
+  Made.set("Request-Id", Request["Request-Id"]);
+  Made.body() = std::move(Body);
+  Made.prepare_payload();
+  return Made;
+}
+
+Awaitable<HttpResponse> answerWhole(const HttpRequest &Request) {
+  co_return signedAnswer(Request, "whole");
+}
+
+Awaitable<HttpResponse> answerShed(const HttpRequest &) {
+  HttpResponse Shed(http::status::service_unavailable, 11);
+  Shed.set("Not-Executed", "1");
+  Shed.prepare_payload();
+  co_return Shed;
+}
+
+Awaitable<HttpResponse> answerUnsigned(const HttpRequest &) {
+  HttpResponse Made(http::status::ok, 11);
+  Made.body() = "not the target's";
+  Made.prepare_payload();
+  co_return Made;
+}
+
+Awaitable<HttpResponse> answerLate(const HttpRequest &Request) {
+  Timer Pause(co_await asio::this_coro::executor);
+  Pause.expires_after(2s);
+  co_await Pause.async_wait(UseTuple);
+  co_return signedAnswer(Request, "late");
+}
+
+class RequestExecutionTest : public testing::Test {
+protected:
+  void configure(Repeatability Repeats, Duration Timeout = 1s) {
+    Configuration Made;
+    Made.Version = {3};
+    Route Only;
+    Only.Name = "only";
+    Only.Host = "a.example";
+    Only.PathPrefix = "/x/";
+    Only.Repeats = Repeats;
+    Only.Timeout = Timeout;
+    Only.TargetLatency = 400ms;
+    Only.AttemptsMaximum = 2;
+    Only.Services = {{ServiceName("stock"), 1}};
+    Made.Routes = {Only};
+    Made.Services = {{ServiceName("stock"), "/health", 10}};
+    Known.offerConfiguration(std::move(Made), "", "test");
+  }
+
+  StandInTarget &addTarget(StandInTarget::Behaviour Answer) {
+    Targets.push_back(
+        std::make_unique<StandInTarget>(Loop, TimeSource, std::move(Answer)));
+    TargetRegistration Registered;
+    Registered.Id = TargetId("i-" + std::to_string(Targets.size()));
+    Registered.Service = ServiceName("stock");
+    Registered.Address = Targets.back()->address();
+    Registered.Domain = FailureDomain("west");
+    Registered.Slots = 6;
+    Known.offerChange({Registered.Id, Registered, {Targets.size()}}, "test");
+    return *Targets.back();
+  }
+
+  /// Has the first target tried before the others.
+  void preferFirstTarget() {
+    for (std::size_t Index = 2; Index <= Targets.size(); ++Index)
+      Known.recordFailure(TargetId("i-" + std::to_string(Index)), true);
+  }
+
+  std::shared_ptr<RequestExecution> begin(std::string Path = "/x/1") {
+    HttpRequest Request(http::verb::get, Path, 11);
+    Request.set(http::field::host, "a.example");
+    Request.set("Request-Id", "r-1");
+    Request.set("Request-Deadline", "3000");
+    auto Execution = std::make_shared<RequestExecution>(Environment, Prober,
+                                                        std::move(Request));
+    asio::co_spawn(
+        Loop,
+        [this, Execution]() -> Awaitable<void> {
+          Answer = co_await Execution->run();
+        },
+        asio::detached);
+    return Execution;
+  }
+
+  HttpResponse finish() {
+    while (!Answer && Loop.run_one() > 0) {
+    }
+    return std::move(*Answer);
+  }
+
+  asio::io_context Loop{1};
+  SystemClock TimeSource;
+  Log Output{LogLevel::Error, ""};
+  BoundedLog Events{Output, TimeSource};
+  Random Generator{20261204};
+  ConnectionPool Pool{Loop.get_executor(), TimeSource, 5s};
+  Knowledge Known{TimeSource, Events};
+  GatewayMetrics Figures;
+  ProbeAllowance Allowance;
+  GatewayContext Environment{Loop.get_executor(),
+                             TimeSource,
+                             Generator,
+                             Pool,
+                             Known,
+                             Events,
+                             Figures,
+                             FailureDomain("west"),
+                             {0.2, 10, 10s},
+                             Allowance,
+                             60,
+                             [] { return std::size_t{1}; }};
+  TargetProbe Prober{Environment};
+  std::vector<std::unique_ptr<StandInTarget>> Targets;
+  std::optional<HttpResponse> Answer;
+};
+
+TEST_F(RequestExecutionTest, AnswerOfTheTargetIsPassedOn) {
+  configure(Repeatability::AtMostOnce);
+  StandInTarget &Only = addTarget(answerWhole);
+  begin();
+  const HttpResponse Response = finish();
+  EXPECT_EQ(Response.result(), http::status::ok);
+  EXPECT_EQ(Response.body(), "whole");
+  EXPECT_EQ(Response["Response-Signature"], "3e1b");
+  EXPECT_EQ(Only.Runs, 1);
+}
+
+// Guards against a caller that is refused although another target has room.
+TEST_F(RequestExecutionTest, ShedRequestGoesToAnotherTarget) {
+  configure(Repeatability::AtMostOnce);
+  StandInTarget &Full = addTarget(answerShed);
+  StandInTarget &Free = addTarget(answerWhole);
+  preferFirstTarget();
+  begin();
+  EXPECT_EQ(finish().result(), http::status::ok);
+  EXPECT_EQ(Full.Runs, 1);
+  EXPECT_EQ(Free.Runs, 1);
+}
+
+// Guards against a second run of a request that must not run twice, and against
+// a promise "not run" for one that may have.
+TEST_F(RequestExecutionTest, InvalidAnswerIsNotRepeatedAtMostOnce) {
+  configure(Repeatability::AtMostOnce);
+  StandInTarget &Faulty = addTarget(answerUnsigned);
+  StandInTarget &Sound = addTarget(answerWhole);
+  preferFirstTarget();
+  begin();
+  EXPECT_EQ(finish().result(), http::status::bad_gateway);
+  EXPECT_EQ(Faulty.Runs, 1);
+  EXPECT_EQ(Sound.Runs, 0);
+}
+
+TEST_F(RequestExecutionTest, InvalidAnswerOfAnIdempotentRequestIsRepeated) {
+  configure(Repeatability::Idempotent);
+  addTarget(answerUnsigned);
+  StandInTarget &Sound = addTarget(answerWhole);
+  preferFirstTarget();
+  begin();
+  EXPECT_EQ(finish().body(), "whole");
+  EXPECT_EQ(Sound.Runs, 1);
+}
+
+// Guards against callers that are told "not run" after an attempt that may have
+// run, because the last one did not.
+TEST_F(RequestExecutionTest, NotRunIsOnlySaidWhenNoAttemptMayHaveRun) {
+  configure(Repeatability::Idempotent);
+  addTarget(answerUnsigned);
+  addTarget(answerShed);
+  preferFirstTarget();
+  begin();
+  EXPECT_EQ(finish().result(), http::status::bad_gateway);
+}
+
+// Guards against a caller that is kept waiting beyond the route's time limit.
+TEST_F(RequestExecutionTest, TimeLimitOfTheRouteEndsTheRequest) {
+  configure(Repeatability::AtMostOnce, 300ms);
+  addTarget(answerLate);
+  const TimePoint Begin = TimeSource.now();
+  begin();
+  EXPECT_EQ(finish().result(), http::status::gateway_timeout);
+  EXPECT_LT(TimeSource.now() - Begin, 800ms);
+}
+
+// Guards against work for a caller that has left.
+TEST_F(RequestExecutionTest, LeavingCallerEndsTheAttempt) {
+  configure(Repeatability::Idempotent);
+  StandInTarget &Slow = addTarget(answerLate);
+  const auto Execution = begin();
+  while (Slow.Runs == 0 && Loop.run_one() > 0) {
+  }
+  Execution->cancel();
+  while (!Slow.HasCallerLeft && Loop.run_one() > 0) {
+  }
+  EXPECT_TRUE(Slow.HasCallerLeft);
+  finish();
+  EXPECT_EQ(Slow.Runs, 1);
+}
+
+// Guards against a promise about requests of routes that are not known yet.
+TEST_F(RequestExecutionTest, UnknownRoutesAndMissingConfigurationDiffer) {
+  begin();
+  EXPECT_EQ(finish().result(), http::status::service_unavailable);
+  Answer.reset();
+  configure(Repeatability::Idempotent);
+  begin("/y/1");
+  EXPECT_EQ(finish().result(), http::status::not_found);
+}
+
+// Guards against requests that wait although nobody can serve them.
+TEST_F(RequestExecutionTest, ServiceWithoutTargetsIsRefusedAtOnce) {
+  configure(Repeatability::Idempotent);
+  const TimePoint Begin = TimeSource.now();
+  begin();
+  const HttpResponse Response = finish();
+  EXPECT_EQ(Response.result(), http::status::service_unavailable);
+  EXPECT_GT(Response.count(http::field::retry_after), 0U);
+  EXPECT_LT(TimeSource.now() - Begin, 100ms);
+}
+
+} // namespace
+} // namespace comfreyrill
--- /dev/null
+++ b/Tests/LibGateway/TestAdmission.cpp
@@ -0,0 +1,86 @@
+#include <LibGateway/Admission.h>
+
+#include <gtest/gtest.h>
+
+namespace comfreyrill {
+namespace {
+
+using namespace std::chrono_literals;
+
+AdmissionInput input() {
+  AdmissionInput Made;
+  Made.ExpectedTime = 100ms;
+  Made.HasFreeSlot = true;
+  Made.TargetLatency = 250ms;
+  Made.TimeLeft = 1s;
+  Made.Priority = 2;
+  return Made;
+}
+
+TEST(Admission, FreeSlotInTimeIsTaken) {
+  EXPECT_EQ(decideAdmission(input()), AdmissionKind::Dispatch);
+}
+
+// Guards against queues at targets, which are served at the speed of a crowded
+// target.
+TEST(Admission, FullTargetsAreNeverQueuedAt) {
+  AdmissionInput Full = input();
+  Full.HasFreeSlot = false;
+  EXPECT_EQ(decideAdmission(Full), AdmissionKind::LookAgain);
+  Full.Waited = 200ms;
+  EXPECT_EQ(decideAdmission(Full), AdmissionKind::Refuse);
+}
+
+// Guards against urgent requests that are refused before less urgent ones.
+TEST(Admission, UrgentRequestsLookLonger) {
+  AdmissionInput Full = input();
+  Full.HasFreeSlot = false;
+  Full.Waited = 60ms;
+  Full.Priority = 2;
+  EXPECT_EQ(decideAdmission(Full), AdmissionKind::Refuse);
+  Full.Priority = 1;
+  EXPECT_EQ(decideAdmission(Full), AdmissionKind::LookAgain);
+  Full.Waited = 100ms;
+  EXPECT_EQ(decideAdmission(Full), AdmissionKind::Refuse);
+  Full.Priority = 0;
+  EXPECT_EQ(decideAdmission(Full), AdmissionKind::LookAgain);
+}
+
+// Guards against requests that are held although they cannot be served in the
+// time that is left.
+TEST(Admission, RequestThatCannotBeServedInTimeIsRefused) {
+  AdmissionInput Late = input();
+  Late.TimeLeft = 50ms;
+  Late.Waited = 400ms;
+  EXPECT_EQ(decideAdmission(Late), AdmissionKind::Refuse);
+  Late.TimeLeft = 5ms;
+  Late.Waited = 0ms;
+  EXPECT_EQ(decideAdmission(Late), AdmissionKind::Refuse);
+}
+
+// A late answer is worth more than none when the slot is free anyway.
+TEST(Admission, SlowTargetIsUsedWhenNoFasterOneIsFound) {
+  AdmissionInput Slow = input();
+  Slow.ExpectedTime = 400ms;
+  EXPECT_EQ(decideAdmission(Slow), AdmissionKind::LookAgain);
+  Slow.Waited = 40ms;
+  EXPECT_EQ(decideAdmission(Slow), AdmissionKind::Dispatch);
+}
+
+// Guards against refused callers that all return at the same time.
+TEST(Admission, RetryAfterIsSpreadAroundTheWorkTime) {
+  Random Generator(20261204);
+  Duration Shortest = 1h;
+  Duration Longest{0};
+  for (int Round = 0; Round < 200; ++Round) {
+    const Duration Time = retryAfter(100ms, Generator);
+    Shortest = std::min(Shortest, Time);
+    Longest = std::max(Longest, Time);
+  }
+  EXPECT_GE(Shortest, 50ms);
+  EXPECT_LE(Longest, 150ms);
+  EXPECT_GT(Longest - Shortest, 80ms);
+}
+
+} // namespace
+} // namespace comfreyrill
--- /dev/null
+++ b/Tests/LibGateway/TestBudgets.cpp
@@ -0,0 +1,82 @@
+#include <LibCore/Random.h>
+#include <LibGateway/ProbeAllowance.h>
+#include <LibGateway/RetryBudget.h>
+
+#include <deque>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace comfreyrill {
+namespace {
+
+using namespace std::chrono_literals;
+
+const TimePoint Start{std::chrono::hours(1)};
+
+// Guards against more extra attempts of the whole fleet in some window than the
+// bound allows: hosts with random load spend whatever they may.
+RC_GTEST_PROP(RetryBudget, FleetKeepsToTheBoundInEachWindow, ()) {
+  Random Choice(*rc::gen::arbitrary<std::uint64_t>());
+  const RetryBudgetPolicy Policy{0.2, 58, 10s};
+  constexpr std::size_t Hosts = 14;
+  std::vector<RetryBudget> Budgets(Hosts);
+  std::deque<TimePoint> Requests;
+  std::deque<TimePoint> Extra;
+  TimePoint Now = Start;
+  for (int Step = 0; Step < 3000; ++Step) {
+    Now += std::chrono::milliseconds(randomIndex(Choice, 20));
+    const std::size_t Host = randomIndex(Choice, Hosts);
+    if (randomIndex(Choice, 3) > 0) {
+      recordRequest(Budgets[Host], Policy, Now);
+      Requests.push_back(Now);
+    }
+    while (spendExtraAttempt(Budgets[Host], Policy, Hosts, Now))
+      Extra.push_back(Now);
+    while (!Requests.empty() && Now - Requests.front() > 10s)
+      Requests.pop_front();
+    while (!Extra.empty() && Now - Extra.front() > 10s)
+      Extra.pop_front();
+    RC_ASSERT(static_cast<double>(Extra.size()) <=
+              0.2 * static_cast<double>(Requests.size()) + 58);
+  }
+}
+
+TEST(RetryBudget, SpentAttemptsComeBackAfterTheWindow) {
+  const RetryBudgetPolicy Policy{0, 2, 10s};
+  RetryBudget Budget;
+  EXPECT_TRUE(spendExtraAttempt(Budget, Policy, 1, Start));
+  EXPECT_TRUE(spendExtraAttempt(Budget, Policy, 1, Start));
+  EXPECT_FALSE(spendExtraAttempt(Budget, Policy, 1, Start + 9s));
+  EXPECT_TRUE(spendExtraAttempt(Budget, Policy, 1, Start + 11s));
+}
+
+// Guards against probing above the agreed rate of the fleet, except for the
+// one probe that checks a connection.
+TEST(ProbeAllowance, RateIsKept) {
+  ProbeAllowance Allowance;
+  const ProbePolicy Policy{60, 20, 10};
+  std::size_t Taken = 0;
+  TimePoint Now = Start;
+  for (int Step = 0; Step < 10'000; ++Step, Now += 1ms)
+    Taken += takeProbes(Allowance, Policy, {0, 3, 9}, Now);
+  // 60 a target and second, 20 targets, a tenth of the fleet, ten seconds.
+  EXPECT_LE(Taken, 1200U);
+  EXPECT_GE(Taken, 900U);
+}
+
+TEST(ProbeAllowance, LeastIsTakenOnCredit) {
+  ProbeAllowance Allowance;
+  Allowance.FilledAt = Start;
+  const ProbePolicy Policy{1, 1, 1000};
+  EXPECT_EQ(takeProbes(Allowance, Policy, {1, 5, 5}, Start), 1U);
+  EXPECT_EQ(takeProbes(Allowance, Policy, {0, 5, 5}, Start), 0U);
+}
+
+TEST(ProbeAllowance, UnusedShareAllowsMore) {
+  ProbeAllowance Allowance;
+  const ProbePolicy Policy{60, 20, 1};
+  EXPECT_EQ(takeProbes(Allowance, Policy, {1, 2, 9}, Start), 9U);
+}
+
+} // namespace
+} // namespace comfreyrill
--- a/Tests/LibHttp/TestHttpConnection.cpp
+++ b/Tests/LibHttp/TestHttpConnection.cpp
@@ -11,7 +11,8 @@
     bool IsReusable = false;
   };
 
-  Awaitable<Exchanged> exchange(Endpoint Remote, TimePoint Deadline) {
+  Awaitable<Exchanged> exchange(Endpoint Remote, TimePoint Deadline,
+                                HttpConnection::AnswerFilter Filter = {}) {
     Exchanged Out;
     const auto Connection =
         std::make_shared<HttpConnection>(Loop.get_executor());
@@ -23,7 +24,8 @@
     const HttpRequest Request{http::verb::get, "/", 11};
     HttpLimits Limits;
     Limits.BodyBytes = 1000;
-    auto Answer = co_await Connection->exchange(Request, Limits, Deadline);
+    auto Answer = co_await Connection->exchange(Request, Limits, Deadline,
+                                                std::move(Filter));
     if (Answer)
       Out.Answer = std::move(Answer.value());
     else
@@ -58,6 +60,49 @@
   EXPECT_FALSE(Result.IsReusable);
 }
 
+// An answer without a length ends with its connection.
+TEST_F(HttpConnectionTest, AnswerWithoutLengthEndsWithTheConnection) {
+  const Exchanged Result = answerOf("HTTP/1.1 200 OK\r\n\r\nwhole");
+  ASSERT_TRUE(Result.Answer.has_value());
+  EXPECT_EQ(Result.Answer->body(), "whole");
+  EXPECT_FALSE(Result.IsReusable);
+}
+
+// Guards against an answer without a length that a reset has cut off.
+TEST_F(HttpConnectionTest, AnswerWithoutLengthThatIsResetIsAFailure) {
+  const Exchanged Result =
+      run(exchange(resettingServer("HTTP/1.1 200 OK\r\n\r\nhalf"), soon()));
+  EXPECT_FALSE(Result.Answer.has_value());
+  EXPECT_EQ(Result.Failure.Progress, WriteProgress::MayHaveBeenRead);
+}
+
+HttpConnection::AnswerFilter answerTo(const std::string &Id) {
+  return [Id](const HttpResponse &Answer) { return Answer["Id"] == Id; };
+}
+
+// Guards against a late second answer to an earlier request that is taken for
+// the answer to this one.
+TEST_F(HttpConnectionTest, AnswersToOtherRequestsAreDropped) {
+  const Exchanged Result =
+      run(exchange(rawServer("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: "
+                             "3\r\n\r\noldHTTP/1.1 200 OK\r\nId: "
+                             "2\r\nContent-Length: 3\r\n\r\nnew"),
+                   soon(), answerTo("2")));
+  ASSERT_TRUE(Result.Answer.has_value());
+  EXPECT_EQ(Result.Answer->body(), "new");
+  EXPECT_FALSE(Result.IsReusable);
+}
+
+TEST_F(HttpConnectionTest, OnlyAnswersToOtherRequestsAreAFailure) {
+  const Exchanged Result =
+      run(exchange(rawServer("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: "
+                             "3\r\n\r\nold"),
+                   soon(), answerTo("2")));
+  EXPECT_FALSE(Result.Answer.has_value());
+  EXPECT_EQ(Result.Failure.Progress, WriteProgress::MayHaveBeenRead);
+  EXPECT_FALSE(Result.IsReusable);
+}
+
 TEST_F(HttpConnectionTest, OversizedAnswerIsAFailure) {
   const Exchanged Result =
       answerOf("HTTP/1.1 200 OK\r\nContent-Length: 1001\r\n\r\n" +
--- /dev/null
+++ b/Tests/LibMembership/TestDomainTable.cpp
@@ -0,0 +1,158 @@
+#include "Fleet.h"
+
+#include <LibMembership/DomainTable.h>
+#include <LibMembership/Observe.h>
+#include <LibMembership/Roles.h>
+
+#include <gtest/gtest.h>
+
+namespace comfreyrill {
+namespace {
+
+using namespace std::chrono_literals;
+
+const TimePoint Start{std::chrono::hours(1)};
+
+HostDescription host(std::string Name, std::string Domain, std::uint16_t Port) {
+  HostDescription Made;
+  Made.Host = HostId(std::move(Name));
+  Made.Incarnation = {Port};
+  Made.StartedAt = 1s;
+  Made.Domain = FailureDomain(std::move(Domain));
+  Made.PeerAddress = {"10.0.0.1", Port};
+  Made.CallerAddress = {"10.0.0.1", static_cast<std::uint16_t>(Port + 1000)};
+  Made.AdminAddress = {"10.0.0.1", static_cast<std::uint16_t>(Port + 2000)};
+  Made.State = HostState::Ready;
+  Made.Sequence = 1;
+  return Made;
+}
+
+MemberTable tableOf(const HostDescription &Self,
+                    const std::vector<HostDescription> &Heard) {
+  MemberTable Table = makeMemberTable(Self, {}, MembershipSettings{}, Start);
+  for (const HostDescription &Other : Heard)
+    if (Other.Host != Self.Host)
+      observeHeartbeat(Table, {Other, {}}, Start);
+  return Table;
+}
+
+std::vector<HostDescription> domainOf(const std::string &Name,
+                                      std::size_t Count) {
+  std::vector<HostDescription> Hosts;
+  for (std::size_t Index = 0; Index < Count; ++Index)
+    Hosts.push_back(host(Name + std::to_string(Index), Name,
+                         static_cast<std::uint16_t>(100 + Index)));
+  return Hosts;
+}
+
+// Guards against a domain for which nobody speaks, or all hosts do.
+TEST(DomainTable, TwoHostsSpeakForTheirDomain) {
+  const auto Hosts = domainOf("west", 7);
+  std::size_t Delegates = 0;
+  for (const HostDescription &Self : Hosts)
+    Delegates += isDelegate(tableOf(Self, Hosts), Start) ? 1 : 0;
+  EXPECT_EQ(Delegates, 2U);
+  EXPECT_TRUE(isDelegate(tableOf(Hosts[0], {}), Start));
+}
+
+// Guards against hosts of another domain that are handed out after the domain
+// cannot be reached any more.
+TEST(DomainTable, HostsOfASilentDomainAreNotHandedOut) {
+  const MemberTable West = tableOf(host("w", "west", 1), {});
+  DomainTable Table;
+  DomainReport Report;
+  Report.Domain = FailureDomain("east");
+  Report.Sender = {"10.0.0.2", 9};
+  Report.Digest = 5;
+  Report.Hosts = {
+      {HostId("e"), {"10.0.0.2", 9}, {"10.0.0.2", 10}, HostState::Ready},
+      {HostId("f"), {"10.0.0.3", 9}, {"10.0.0.3", 10}, HostState::Leaving}};
+  EXPECT_EQ(observeReport(Table, West, Report, Start), ReportVerdict::Changed);
+  EXPECT_EQ(remoteHosts(Table, Start).size(), 1U);
+  EXPECT_EQ(remoteHostCount(Table), 2U);
+  EXPECT_TRUE(remoteHosts(Table, Start + 4s).empty());
+}
+
+// Guards against reports that carry all hosts each time, and against a receiver
+// that never learns them after a lost report.
+TEST(DomainTable, HostsAreSentWhenTheReceiverLacksThem) {
+  const MemberTable West = tableOf(host("w", "west", 1), {});
+  const MemberTable East = tableOf(host("e", "east", 2), {});
+  DomainTable WestTable;
+  DomainTable EastTable;
+  observeContact(WestTable, East.Self);
+  TimePoint Now = Start;
+  const auto First = dueReports(WestTable, West, Now);
+  ASSERT_EQ(First.size(), 1U);
+  EXPECT_TRUE(First.front().Content.Hosts);
+  // The first report is lost; the second has no hosts, so east asks for them.
+  Now += 1s;
+  const auto Second = dueReports(WestTable, West, Now);
+  ASSERT_EQ(Second.size(), 1U);
+  EXPECT_FALSE(Second.front().Content.Hosts);
+  observeReport(EastTable, East, Second.front().Content, Now);
+  observeContact(EastTable, West.Self);
+  const auto Asked = dueReports(EastTable, East, Now);
+  ASSERT_EQ(Asked.size(), 1U);
+  EXPECT_TRUE(Asked.front().Content.WantsHosts);
+  observeReport(WestTable, West, Asked.front().Content, Now);
+  Now += 1s;
+  const auto Third = dueReports(WestTable, West, Now);
+  ASSERT_FALSE(Third.empty());
+  EXPECT_TRUE(Third.front().Content.Hosts);
+}
+
+TEST(DomainTable, OwnDomainIsIgnored) {
+  const MemberTable West = tableOf(host("w", "west", 1), {});
+  DomainTable Table;
+  DomainReport Report;
+  Report.Domain = FailureDomain("west");
+  EXPECT_EQ(observeReport(Table, West, Report, Start), ReportVerdict::Ignored);
+  EXPECT_TRUE(Table.Domains.empty());
+}
+
+std::size_t storeWatchers(std::vector<HostDescription> Hosts) {
+  std::size_t Count = 0;
+  for (const HostDescription &Self : Hosts)
+    Count += isStoreWatcher(tableOf(Self, Hosts), Start) ? 1 : 0;
+  return Count;
+}
+
+// Guards against a domain in which nobody follows the store, or all hosts do.
+TEST(StoreWatcher, OneHostOfADomainFollowsTheStore) {
+  auto Hosts = domainOf("west", 6);
+  EXPECT_EQ(storeWatchers(Hosts), 1U);
+  Hosts[3].WatchesStore = true;
+  EXPECT_EQ(storeWatchers(Hosts), 1U);
+  EXPECT_TRUE(isStoreWatcher(tableOf(Hosts[3], Hosts), Start));
+}
+
+// Guards against a role that stays with a host which the store turns away.
+TEST(StoreWatcher, RoleGoesToAHostThatReachesTheStore) {
+  auto Hosts = domainOf("west", 6);
+  for (HostDescription &Self : Hosts)
+    if (isStoreWatcher(tableOf(Self, Hosts), Start)) {
+      Self.ReachesPlatform = false;
+      break;
+    }
+  EXPECT_EQ(storeWatchers(Hosts), 1U);
+}
+
+// Guards against calls of every host while the store is away.
+TEST(StoreWatcher, NobodyElseTriesAfterThreeFailures) {
+  auto Hosts = domainOf("west", 6);
+  for (std::size_t Index = 0; Index < 3; ++Index)
+    Hosts[Index].ReachesPlatform = false;
+  EXPECT_EQ(storeWatchers(Hosts), 0U);
+}
+
+// Guards against two hosts that both keep the role after a cut has healed.
+TEST(StoreWatcher, OfTwoFollowersOneYields) {
+  auto Hosts = domainOf("west", 6);
+  Hosts[1].WatchesStore = true;
+  Hosts[4].WatchesStore = true;
+  EXPECT_EQ(storeWatchers(Hosts), 1U);
+}
+
+} // namespace
+} // namespace comfreyrill
--- /dev/null
+++ b/Tests/platform/TestCallCodec.cpp
@@ -0,0 +1,115 @@
+#include <platform/CallCodec.h>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace comfreyrill::platform {
+namespace {
+
+using namespace std::chrono_literals;
+
+HttpRequest request() {
+  HttpRequest Made(http::verb::post, "/stock/1?x=2", 11);
+  Made.set(http::field::host, "a.example");
+  Made.set("Request-Id", "9c41");
+  Made.set("Request-Deadline", "1500.5");
+  Made.set("X-Kept", "yes");
+  Made.set(http::field::connection, "close, X-Dropped");
+  Made.set("X-Dropped", "1");
+  Made.set(http::field::keep_alive, "timeout=5");
+  Made.body() = "body";
+  return Made;
+}
+
+TEST(CallCodec, ReadsTheRequestOfACaller) {
+  const IncomingCall Call = decodeCall(request());
+  EXPECT_EQ(Call.Id.Value, "9c41");
+  EXPECT_EQ(Call.Host, "a.example");
+  EXPECT_EQ(Call.Path, "/stock/1?x=2");
+  EXPECT_EQ(Call.TimeLeft, 1500500us);
+}
+
+// Guards against a request that reaches a target changed, without its time
+// limit, or at whichever target holds the address by then.
+TEST(CallCodec, AttemptKeepsTheRequestAndNamesTheTarget) {
+  const HttpRequest Sent = encodeAttempt(request(), TargetId("i-7"), 900ms);
+  EXPECT_EQ(Sent.method(), http::verb::post);
+  EXPECT_EQ(Sent.target(), "/stock/1?x=2");
+  EXPECT_EQ(Sent.body(), "body");
+  EXPECT_EQ(Sent["Request-Id"], "9c41");
+  EXPECT_EQ(Sent["Request-Deadline"], "900");
+  EXPECT_EQ(Sent["Expected-Instance"], "i-7");
+  EXPECT_EQ(Sent["X-Kept"], "yes");
+  EXPECT_EQ(Sent.count("X-Dropped"), 0U);
+  EXPECT_EQ(Sent.count(http::field::connection), 0U);
+  EXPECT_EQ(Sent[http::field::content_length], "4");
+}
+
+TEST(CallCodec, ReadsTheAnswerOfATarget) {
+  HttpResponse Response(http::status::ok, 11);
+  Response.set("Response-Signature", "3e1b");
+  Response.set("Backend-Load", "3,1,6,400");
+  const TargetAnswer Answer = decodeAnswer(Response);
+  EXPECT_TRUE(Answer.IsSigned);
+  EXPECT_FALSE(Answer.IsProvedNotRun);
+  ASSERT_TRUE(Answer.Load);
+  EXPECT_EQ(Answer.Load->InFlight, 3U);
+  EXPECT_EQ(Answer.Load->Queued, 1U);
+  EXPECT_EQ(Answer.Load->Slots, 6U);
+  EXPECT_DOUBLE_EQ(Answer.Load->Slowdown, 4);
+}
+
+// Guards against a promise "not run" without the target's word for it.
+TEST(CallCodec, OnlyTheHeaderOrAnotherTargetProveNotRun) {
+  HttpResponse Shed(http::status::service_unavailable, 11);
+  EXPECT_FALSE(decodeAnswer(Shed).IsProvedNotRun);
+  Shed.set("Not-Executed", "1");
+  EXPECT_TRUE(decodeAnswer(Shed).IsProvedNotRun);
+  const HttpResponse Other(http::status::misdirected_request, 11);
+  EXPECT_TRUE(decodeAnswer(Other).IsProvedNotRun);
+  EXPECT_TRUE(decodeAnswer(Other).IsOtherTarget);
+}
+
+// Guards against an answer to an earlier request that arrives late.
+TEST(CallCodec, AnswersAreMatchedByRequest) {
+  HttpResponse Response(http::status::ok, 11);
+  EXPECT_TRUE(answersRequest(Response, RequestId("a")));
+  Response.set("Request-Id", "a");
+  EXPECT_TRUE(answersRequest(Response, RequestId("a")));
+  EXPECT_FALSE(answersRequest(Response, RequestId("b")));
+}
+
+TEST(CallCodec, OwnAnswersSayWhenToComeBack) {
+  const HttpResponse Refusal =
+      encodeOwnAnswer(http::status::service_unavailable, RequestId("a"),
+                      "overloaded", Duration(120ms));
+  EXPECT_EQ(Refusal[http::field::retry_after], "0.120");
+  EXPECT_EQ(Refusal["Request-Id"], "a");
+  EXPECT_EQ(Refusal.count("Response-Signature"), 0U);
+}
+
+TEST(CallCodec, AddressesAreListedWithTheirLifetime) {
+  const HttpResponse Response =
+      encodeAddresses({{"10.0.0.1", 8161}, {"10.0.0.2", 8161}}, 1s);
+  EXPECT_NE(Response.body().find("\"10.0.0.1:8161\",\"10.0.0.2:8161\""),
+            std::string::npos);
+  EXPECT_NE(Response.body().find("\"ttlS\":1"), std::string::npos);
+}
+
+// Guards against a header of a faulty target that ends the process or is taken
+// for a load.
+RC_GTEST_PROP(CallCodec, AnyLoadHeaderIsReadOrRefused,
+              (const std::string &Text)) {
+  HttpResponse Response(http::status::ok, 11);
+  std::string Printable;
+  for (const char Character : Text)
+    if (Character >= ' ' && Character < 127)
+      Printable += Character;
+  Response.set("Backend-Load", Printable);
+  const TargetAnswer Answer = decodeAnswer(Response);
+  if (Answer.Load)
+    RC_ASSERT(std::count(Printable.begin(), Printable.end(), ',') >= 2);
+}
+
+} // namespace
+} // namespace comfreyrill::platform
--- /dev/null
+++ b/Tests/platform/TestStoreCodec.cpp
@@ -0,0 +1,128 @@
+#include <platform/StoreCodec.h>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace comfreyrill::platform {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::string_view ConfigurationText = R"({
+  "version":"r7","routes":[
+    {"name":"r1","host":"a.example","pathPrefix":"/x/","kind":"non_idempotent",
+     "timeoutS":2,"targetLatencyS":0.5,"priority":1,"service":"stock",
+     "maxAttempts":2},
+    {"name":"r2","host":"a.example","pathPrefix":"/y/","kind":"read_only",
+     "timeoutS":1.5,"targetLatencyS":0.4,"priority":2,"maxAttempts":3,
+     "trafficSplit":[{"service":"stock","weight":90},
+                     {"service":"desk","weight":10}]}],
+  "services":[{"name":"stock","healthPath":"/health","maxConnections":260},
+              {"name":"desk","healthPath":"/h2","maxConnections":10}],
+  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,
+            "headerTimeoutS":3,"idleTimeoutS":15},"later":"field"})";
+
+TEST(StoreCodec, ReadsTheConfiguration) {
+  const auto Read = decodeConfiguration(ConfigurationText);
+  ASSERT_TRUE(Read);
+  const Configuration &Value = Read.value();
+  EXPECT_EQ(Value.Version.Value, 7U);
+  ASSERT_EQ(Value.Routes.size(), 2U);
+  EXPECT_EQ(Value.Routes[0].Repeats, Repeatability::AtMostOnce);
+  EXPECT_EQ(Value.Routes[0].Timeout, 2s);
+  EXPECT_EQ(Value.Routes[0].Services.front().Service, ServiceName("stock"));
+  EXPECT_EQ(Value.Routes[1].Repeats, Repeatability::Idempotent);
+  EXPECT_EQ(Value.Routes[1].TargetLatency, 400ms);
+  ASSERT_EQ(Value.Routes[1].Services.size(), 2U);
+  EXPECT_DOUBLE_EQ(Value.Routes[1].Services[1].Weight, 10);
+  EXPECT_EQ(Value.Services[1].HealthPath, "/h2");
+  EXPECT_EQ(Value.Limits.IdleTime, 15s);
+}
+
+// Guards against half a configuration that is put in force.
+TEST(StoreCodec, IncompleteConfigurationIsRefused) {
+  for (const char *Text :
+       {"", "{}", "[]", R"({"version":"7","routes":[],"services":[]})",
+        R"({"version":"r7","routes":[{"name":"r"}],"services":[]})",
+        R"({"version":"r7","services":[]})"})
+    EXPECT_FALSE(decodeConfiguration(Text)) << Text;
+}
+
+StoreObject entry(std::string Specification) {
+  return {"i-1", {5}, std::move(Specification)};
+}
+
+TEST(StoreCodec, ReadsARegistration) {
+  const auto Read = decodeRegistration(
+      entry(R"({"service":"stock","address":"10.1.0.9:8080","zone":"west",
+                "version":"v1","slots":2,"state":"draining","coldLeftS":1.5,
+                "sequence":4,"born":1700000000123})"));
+  ASSERT_TRUE(Read);
+  EXPECT_EQ(Read.value().Id, TargetId("i-1"));
+  EXPECT_EQ(Read.value().Address, (Endpoint{"10.1.0.9", 8080}));
+  EXPECT_EQ(Read.value().ColdTime, 1500ms);
+  EXPECT_EQ(Read.value().StartedAtMilliseconds, 1700000000123U);
+  EXPECT_TRUE(Read.value().IsDraining);
+}
+
+// Guards against entries of other writers that name a target.
+TEST(StoreCodec, EntriesThatNameNoTargetAreRefused) {
+  for (
+      const char *Text :
+      {"null", "{}", "\"text\"",
+       R"({"service":1,"address":"10.1.0.9:8080","zone":"w","slots":2,"state":"ready"})",
+       R"({"service":"s","address":"nowhere","zone":"w","slots":2,"state":"ready"})",
+       R"({"service":"s","address":"10.1.0.9:8080","zone":"w","slots":2.5,"state":"ready"})",
+       R"({"service":"s","address":"10.1.0.9:8080","zone":"w","slots":2,"state":"resting"})"})
+    EXPECT_FALSE(decodeRegistration(entry(Text))) << Text;
+}
+
+// Guards against one bad entry that hides the others.
+TEST(StoreCodec, UnreadableItemsDoNotHideTheOthers) {
+  const auto Page = decodePage(
+      R"({"items":["text",{"metadata":{}},
+          {"metadata":{"name":"a","revision":3},"spec":{"x":1}}],
+          "hasMore":true,"currentRev":9})");
+  ASSERT_TRUE(Page);
+  ASSERT_EQ(Page.value().Objects.size(), 1U);
+  EXPECT_EQ(Page.value().Objects.front().Name, "a");
+  EXPECT_EQ(Page.value().Objects.front().Specification, R"({"x":1})");
+  EXPECT_TRUE(Page.value().HasMore);
+  EXPECT_EQ(Page.value().Revision.Value, 9U);
+}
+
+TEST(StoreCodec, ReadsChanges) {
+  const auto Changes = decodeChanges(
+      R"({"events":[{"deleted":true,"object":{"metadata":
+          {"name":"a","revision":4}}}],"currentRev":6})");
+  ASSERT_TRUE(Changes);
+  ASSERT_EQ(Changes.value().Events.size(), 1U);
+  EXPECT_TRUE(Changes.value().Events.front().IsDeleted);
+  EXPECT_FALSE(decodeChanges(R"({"events":[]})"));
+}
+
+// Guards against bytes that end the process: any text, and the configuration
+// with some of its bytes changed or cut off.
+RC_GTEST_PROP(StoreCodec, AnyTextIsReadOrRefused, (const std::string &Text)) {
+  const bool IsRead = decodeConfiguration(Text) || decodePage(Text) ||
+                      decodeChanges(Text) || decodeRegistration(entry(Text));
+  // Each of them needs an object with a field of several letters.
+  RC_ASSERT(!IsRead || Text.find('{') != std::string::npos);
+}
+
+RC_GTEST_PROP(StoreCodec, MutatedConfigurationIsReadOrRefused, ()) {
+  std::string Text(ConfigurationText);
+  const auto Changes = *rc::gen::inRange<std::size_t>(1, 6);
+  for (std::size_t Count = 0; Count < Changes; ++Count) {
+    const auto Position = *rc::gen::inRange<std::size_t>(0, Text.size());
+    Text[Position] = *rc::gen::arbitrary<char>();
+  }
+  Text.resize(*rc::gen::inRange<std::size_t>(0, Text.size() + 1));
+  const auto Read = decodeConfiguration(Text);
+  if (Read)
+    for (const Route &Entry : Read.value().Routes)
+      RC_ASSERT(!Entry.Services.empty());
+}
+
+} // namespace
+} // namespace comfreyrill::platform
