Tests: Pass names and host lists by reference

Cause: clang-tidy reported three findings in the files of the gateway. Change: two parameters by reference, one product of the wide type. No change of behaviour. Ruled out: none.

--- a/Services/Gateway/TargetProbe.cpp
+++ b/Services/Gateway/TargetProbe.cpp
@@ -12,7 +12,7 @@
 constexpr Duration GatherTime = std::chrono::milliseconds(8);
 // A target without an answer by then is silent.
 constexpr Duration ProbeTime = std::chrono::milliseconds(250);
-constexpr std::uint64_t AnswerBytesMaximum = 64 * 1024;
+constexpr std::uint64_t AnswerBytesMaximum = std::uint64_t{64} * 1024;
 
 HttpLimits probeLimits() {
   HttpLimits Limits;
--- a/Tests/Gateway/TestRequestExecution.cpp
+++ b/Tests/Gateway/TestRequestExecution.cpp
@@ -120,7 +120,7 @@
       Known.recordFailure(TargetId("i-" + std::to_string(Index)), true);
   }
 
-  std::shared_ptr<RequestExecution> begin(std::string Path = "/x/1") {
+  std::shared_ptr<RequestExecution> begin(const std::string &Path = "/x/1") {
     HttpRequest Request(http::verb::get, Path, 11);
     Request.set(http::field::host, "a.example");
     Request.set("Request-Id", "r-1");
--- a/Tests/LibMembership/TestDomainTable.cpp
+++ b/Tests/LibMembership/TestDomainTable.cpp
@@ -111,7 +111,7 @@
   EXPECT_TRUE(Table.Domains.empty());
 }
 
-std::size_t storeWatchers(std::vector<HostDescription> Hosts) {
+std::size_t storeWatchers(const std::vector<HostDescription> &Hosts) {
   std::size_t Count = 0;
   for (const HostDescription &Self : Hosts)
     Count += isStoreWatcher(tableOf(Self, Hosts), Start) ? 1 : 0;
