Gateway: Keep repeated looks within the agreed rate of probes

A silent cut of the host that follows the store also left the targets of its domain to its own detection (3 s) alone. Ruled out: fewer probes in the first look (they check the connection). Change: only the first look probes on credit; the share is 0.9 of the bound, and a new process starts with none saved. Delegates fetch the targets from a domain that is ahead even if their own has a follower.

--- a/Libraries/LibGateway/ProbeAllowance.cpp
+++ b/Libraries/LibGateway/ProbeAllowance.cpp
@@ -8,7 +8,7 @@
 
 // Part of the agreed bound that is used. The rest covers hosts that count the
 // fleet differently while others join or leave.
-constexpr double UsedShare = 0.75;
+constexpr double UsedShare = 0.9;
 // Unused probes are kept for this long, so that a burst of requests can be
 // placed as well as the ones before it.
 constexpr double KeptSeconds = 3;
@@ -20,6 +20,10 @@
   const double Rate =
       UsedShare * Policy.PerTarget * static_cast<double>(Policy.Targets) /
       static_cast<double>(std::max<std::size_t>(Policy.Hosts, 1));
+  // A process that has just started has saved nothing: a fleet that restarts
+  // must not probe above the bound.
+  if (Allowance.FilledAt == TimePoint{})
+    Allowance.FilledAt = Now;
   const double Elapsed =
       std::chrono::duration<double>(Now - Allowance.FilledAt).count();
   Allowance.FilledAt = Now;
--- a/Services/Gateway/KnowledgeExchange.cpp
+++ b/Services/Gateway/KnowledgeExchange.cpp
@@ -62,18 +62,11 @@
   if (!isDelegate(Members, Now))
     return;
   const RemoteDomain *Ahead = nullptr;
-  // Revisions of the targets differ a little between hosts that follow the
-  // store, so another domain's list is only asked for when this one has no host
-  // that follows it.
-  bool HasWatcher = Members.Self.WatchesStore;
-  for (const Peer &Other : Members.Peers)
-    HasWatcher =
-        HasWatcher || (Other.Description.WatchesStore &&
-                       liveness(Members, Other, Now) == Liveness::Alive);
   bool IsBehindTargets = false;
   for (const auto &[Name, Domain] : Domains.Domains) {
+    // Asked whether or not this domain has a host that follows the store: its
+    // connection may be silent without its knowing yet.
     const bool LacksTargets =
-        !HasWatcher &&
         Domain.TargetsRevision > Environment.Known.targets().Revision.Value;
     if (Domain.Manifest.Value <= Environment.Known.version().Value &&
         !LacksTargets)
--- a/Services/Gateway/RequestExecution.cpp
+++ b/Services/Gateway/RequestExecution.cpp
@@ -137,11 +137,15 @@
 }
 
 Awaitable<std::optional<FoundTarget>> RequestExecution::findTarget() {
-  while (!HasCallerLeft) {
+  for (bool IsFirstLook = true; !HasCallerLeft; IsFirstLook = false) {
     std::vector<FoundTarget> Found;
     std::vector<ProbedCandidate> Probed;
     std::optional<std::size_t> Best;
-    for (const ProbeDemand &Demand : ProbesByRound) {
+    for (ProbeDemand Demand : ProbesByRound) {
+      // Only the first look probes on credit; otherwise requests that look
+      // again under overload would exceed the agreed rate of probes.
+      if (!IsFirstLook)
+        Demand.Least = 0;
       auto More = co_await probe(Found, Demand);
       for (FoundTarget &Target : More) {
         Probed.push_back(Target.Candidate);
@@ -151,7 +155,8 @@
       if (HasCallerLeft || (Best && isSatisfying(Probed[*Best])))
         break;
     }
-    const AdmissionKind Decision = admit(Best ? &Probed[*Best] : nullptr);
+    const AdmissionKind Decision =
+        admit(Best ? &Probed[*Best] : nullptr, IsFirstLook);
     std::optional<FoundTarget> Picked;
     for (std::size_t Index = 0; Index < Found.size(); ++Index)
       if (Decision == AdmissionKind::Dispatch && Index == *Best)
@@ -167,17 +172,22 @@
   co_return std::nullopt;
 }
 
-AdmissionKind RequestExecution::admit(const ProbedCandidate *Best) {
-  if (Best == nullptr) {
+AdmissionKind RequestExecution::admit(const ProbedCandidate *Best,
+                                      bool IsFirstLook) {
+  if (Best == nullptr && IsFirstLook) {
     RefusalReason = "no_target";
     return AdmissionKind::Refuse;
   }
   RefusalReason = "overloaded";
   const TimePoint Now = Environment.TimeSource.now();
   AdmissionInput Input;
-  Input.ExpectedTime =
-      std::chrono::duration_cast<Duration>(workTime() * expectedEffort(*Best));
-  Input.HasFreeSlot = hasFreeSlot(Best->Load);
+  // Without a probe in this look, no slot is known to be free.
+  Input.ExpectedTime = workTime();
+  if (Best != nullptr) {
+    Input.ExpectedTime = std::chrono::duration_cast<Duration>(
+        workTime() * expectedEffort(*Best));
+    Input.HasFreeSlot = hasFreeSlot(Best->Load);
+  }
   Input.Waited = Now - Received;
   Input.TargetLatency = Chosen->TargetLatency;
   Input.TimeLeft = Deadline - Now;
--- a/Services/Gateway/RequestExecution.h
+++ b/Services/Gateway/RequestExecution.h
@@ -41,7 +41,7 @@
   /// Probes targets that have not been found yet.
   Awaitable<std::vector<FoundTarget>>
   probe(const std::vector<FoundTarget> &Found, ProbeDemand Demand);
-  AdmissionKind admit(const ProbedCandidate *Best);
+  AdmissionKind admit(const ProbedCandidate *Best, bool IsFirstLook);
   Awaitable<AttemptReport> attempt(FoundTarget Target);
   HttpResponse answerFor(AttemptReport Last);
   HttpResponse refuse(http::status Status, std::string_view Reason,
