Tests: Use a field number of no version for the unknown body

Cause: TestLibPeer Codec.UnknownBodyIsLeftUnset failed: its bytes name field 15, which is the targets' update since the gateway. The test is wrong in that it relied on a number that was free then. Change: field 1000 in the long form of the compact protocol; the assertions stay. Ruled out: renumbering the new messages (the next one would meet it).

--- a/Tests/LibPeer/TestCodec.cpp
+++ b/Tests/LibPeer/TestCodec.cpp
@@ -184,8 +184,8 @@
 // Guards against a body of a newer version ending the connection during a
 // replacement of the fleet.
 TEST(Codec, UnknownBodyIsLeftUnset) {
-  // correlation 1; body with field 15, an empty struct; ends of both structs.
-  const std::string Bytes("\x16\x02\x1C\xFC\x00\x00\x00", 7);
+  // correlation 1; body with field 1000, an empty struct; ends of both structs.
+  const std::string Bytes("\x16\x02\x1C\x0C\xD0\x0F\x00\x00\x00", 9);
   const auto Decoded = decode(Bytes);
   ASSERT_TRUE(Decoded.has_value()) << Decoded.error().Message;
   EXPECT_FALSE(hasKnownBody(Decoded.value().body));
