LibHttp: Spare requests that have arrived when closing idle connections

At a planned stop a connection counted as idle although its next request was already in the socket; closing reset it (sent 1.8 ms before the reset). Change: an idle connection with unread bytes stays open and is answered. Conclusion: a request that is still on the wire at the close remains exposed.

--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -29,6 +29,14 @@
     Socket.close(Ignored);
   }
 
+  /// A request that has arrived and that the event loop has not read yet.
+  /// Closing now would reset the connection and lose it.
+  bool hasUnreadBytes() {
+    char Byte = 0;
+    return ::recv(Socket.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT) >
+           0;
+  }
+
   TcpSocket Socket;
   beast::flat_buffer Buffer;
   SessionPhase Phase = SessionPhase::Idle;
@@ -74,7 +82,8 @@
 
 void HttpServer::closeIdleSessions() {
   for (const auto &Current : Sessions)
-    if (Current->Phase == SessionPhase::Idle && Current->Buffer.size() == 0)
+    if (Current->Phase == SessionPhase::Idle && Current->Buffer.size() == 0 &&
+        !Current->hasUnreadBytes())
       Current->close();
 }
 
--- a/Tests/LibHttp/TestHttpServer.cpp
+++ b/Tests/LibHttp/TestHttpServer.cpp
@@ -116,6 +116,29 @@
   EXPECT_TRUE(SawDisconnect);
 }
 
+// Guards against a planned stop that resets a connection whose request has just
+// arrived (chaos seed 1, 15 s: one cut call).
+TEST_F(HttpServerTest, ClosingIdleSessionsSparesARequestThatHasArrived) {
+  const Endpoint Remote = Server->localEndpoint();
+  asio::io_context Other;
+  asio::ip::tcp::socket Caller(Other);
+  Caller.connect({asio::ip::make_address(Remote.Address), Remote.Port});
+  const std::string Request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+  Loop.restart();
+  Loop.run_for(std::chrono::milliseconds(20));
+  ASSERT_EQ(Server->sessions(), 1U);
+  asio::write(Caller, asio::buffer(Request));
+  Server->closeIdleSessions();
+  Loop.restart();
+  Loop.run_for(std::chrono::milliseconds(50));
+  std::array<char, 512> Answer{};
+  boost::system::error_code Code;
+  const std::size_t Count = Caller.read_some(asio::buffer(Answer), Code);
+  EXPECT_FALSE(Code) << Code.message();
+  EXPECT_EQ(std::string(Answer.data(), std::min<std::size_t>(Count, 15)),
+            "HTTP/1.1 200 OK");
+}
+
 // Guards against a stop that cuts off a caller: a connection is closed only
 // after its answer.
 TEST_F(HttpServerTest, EndKeepAliveClosesAfterTheAnswer) {
