Meta: Keep clean verdicts of the linter in a cache keyed on content

Half of a file's time is the checks' own, so that precompiled headers would not save it. Change: a verdict is kept under the digest of the file, the project headers that it includes, its compile command, the checks and the installed packages; only clean results are kept. Ruled out: caching by file time (a fresh clone has new times) and by preprocessed text (comments that silence a check are not in it).

--- a/Meta/install_packages.sh
+++ b/Meta/install_packages.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 PACKAGES=(libboost1.81-dev libboost-json1.81-dev libthrift-dev libdocopt-dev
           libeasyloggingpp-dev librapidcheck-dev libssl-dev libgtest-dev
-          libgmock-dev libbenchmark-dev g++ cmake ninja-build clang-format clang-tidy curl)
+          libgmock-dev libbenchmark-dev g++ cmake ninja-build clang clang-format clang-tidy curl python3)
 MISSING=()
 for Package in "${PACKAGES[@]}"; do
   dpkg-query -W -f='${Status}' "$Package" 2>/dev/null | grep -q 'install ok installed' || MISSING+=("$Package")
--- a/Meta/lint.sh
+++ b/Meta/lint.sh
@@ -8,5 +8,5 @@
 FILES=("$@")
 [ ${#FILES[@]} -gt 0 ] || mapfile -t FILES < <(git ls-files --cached --others --exclude-standard '*.cpp' | grep -v /Generated/)
 printf '%s\0' "${FILES[@]}" |
-  xargs -0 -n 1 -P "$(nproc)" clang-tidy -p build-lint --quiet 2> >(grep -vE 'warnings? generated|^Suppressed|^Use -header' >&2 || true)
+  xargs -0 -n 2 -P "$(nproc)" Meta/lint_files.py --build build-lint
 echo "lint: ${#FILES[@]} files are clean"
