Tests: Add a fault soak of the gateway's real processes

Change: gateway-soak runs six gateways in two failure domains against a stand-in of the platform's store, targets behind loopback proxies and callers that use connections until they end. Faults are drawn from a seed and overlap: kill, planned stop, freeze, reload, silent, one-way, delayed and reset links, store outages and lost history, targets that shed, lose answers, drain or crash, configurations in series. The books are compared by pure functions with tests of their own (double run, false not-run, wrong answer, cut call, late draining, late or reverted configuration). Left out: disk faults, because no host has one; clock steps, because the gateway decides on the monotonic clock.

--- /dev/null
+++ b/Meta/soak.sh
@@ -0,0 +1,37 @@
+#!/usr/bin/env bash
+# Runs gateway processes under seeded faults and checks what callers and targets
+# see. Exits non-zero when a seed finds a broken promise; its logs are kept.
+# Usage: Meta/soak.sh FIRST-SEED LAST-SEED [SECONDS [JOBS]]
+# Meta/soak.sh regress runs the seeds of Tests/Soak/seeds.txt.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+BUILD=${BUILD:-build}
+if [ -z "${SKIP_BUILD:-}" ]; then
+  Meta/install_packages.sh
+  [ -d "$BUILD" ] || cmake --preset default >/dev/null
+  cmake --build "$BUILD" --target gateway-soak comfreyrilld
+fi
+
+play() { # SEED SECONDS
+  local Work
+  Work=$(mktemp -d)
+  if "$BUILD/Tests/Soak/gateway-soak" --daemon "$BUILD/Services/Daemon/comfreyrilld" \
+    --work "$Work" --seed "$1" --seconds "$2" >"$Work/soak.log"; then
+    tail -n 1 "$Work/soak.log"
+    rm -r "$Work"
+  else
+    tail -n 1 "$Work/soak.log"
+    grep VIOLATION "$Work/soak.log" || true
+    echo "soak: seed $1 failed; logs are kept in $Work" >&2
+    return 1
+  fi
+}
+export -f play
+export BUILD
+
+if [ "${1:-}" = regress ]; then
+  grep -v '^#' Tests/Soak/seeds.txt | awk 'NF {print $1, $2}' | xargs -r -n 2 -P 2 bash -c 'play "$@"' _
+else
+  seq "${1:?usage: Meta/soak.sh FIRST-SEED LAST-SEED [SECONDS [JOBS]]}" "${2:?no last seed}" |
+    xargs -I{} -P "${4:-2}" bash -c 'play "$@"' _ {} "${3:-20}"
+fi
--- /dev/null
+++ b/Tests/Soak/ObjectStoreStandIn.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <LibHttp/HttpServer.h>
+
+#include <boost/json.hpp>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace comfreyrill::soak {
+
+/// How the store answers.
+enum class StoreFault { None, Unavailable, Busy, Slow };
+
+/// Stands in for the metadata store of the users' platform: lists in pages,
+/// watches, history that can be dropped, and outages.
+class ObjectStoreStandIn {
+public:
+  ObjectStoreStandIn(const Executor &Context, const Clock &TimeSource);
+
+  Result<void> listen();
+  Endpoint endpoint() const { return Server->localEndpoint(); }
+
+  /// Writes an object as the operator or a target does; succeeds at any time.
+  void put(const std::string &Kind, const std::string &Name,
+           boost::json::value Specification);
+  void remove(const std::string &Kind, const std::string &Name);
+
+  void inject(StoreFault NewFault) { Fault = NewFault; }
+  /// Drops the history and cuts the watches that wait.
+  void compact();
+
+private:
+  struct Object {
+    boost::json::value Specification;
+    std::uint64_t Revision = 0;
+  };
+  struct Change {
+    std::uint64_t Revision = 0;
+    std::string Kind;
+    boost::json::object Event;
+  };
+
+  Awaitable<HttpResponse> handle(HttpRequest Request);
+  HttpResponse list(const std::string &Kind, const std::string &After) const;
+  Awaitable<HttpResponse> watch(std::string Kind, std::uint64_t Since,
+                                Duration Wait);
+  void record(const std::string &Kind, const std::string &Name,
+              const boost::json::value &Specification, bool IsDeleted);
+  void wakeWatches();
+
+  Executor Context;
+  const Clock &TimeSource;
+  std::shared_ptr<HttpServer> Server;
+  std::map<std::string, std::map<std::string, Object>> Kinds;
+  std::vector<Change> History;
+  std::uint64_t Revision = 100;
+  /// Watches from before this revision are refused.
+  std::uint64_t FirstKept = 100;
+  StoreFault Fault = StoreFault::None;
+  std::list<Timer *> Waiting;
+};
+
+} // namespace comfreyrill::soak
--- /dev/null
+++ b/Tests/Soak/SoakFleet.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "LoopbackProxy.h"
+
+#include <Chaos/Child.h>
+#include <LibCore/Result.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace comfreyrill::soak {
+
+/// One gateway host. All its processes have the same name and addresses.
+struct SoakHost {
+  std::string Name;
+  std::string Domain;
+  /// An address of loopback of its own.
+  std::string Address;
+  std::string SettingsFile;
+  /// Between the gateway and the store.
+  std::shared_ptr<LoopbackProxy> StoreLink;
+  std::unique_ptr<chaos::Child> Process;
+  std::uint32_t Lifetime = 0;
+  bool IsStopping = false;
+  bool IsFrozen = false;
+
+  Endpoint callers() const { return {Address, 7001}; }
+  Endpoint directory() const { return {Address, 7003}; }
+};
+
+struct SoakFleetSettings {
+  std::string Daemon;
+  std::string Work;
+  std::size_t Hosts = 6;
+  std::size_t Domains = 2;
+};
+
+/// The gateway processes of one run. Signals go only to processes that it has
+/// started.
+class SoakFleet {
+public:
+  explicit SoakFleet(SoakFleetSettings Settings)
+      : Settings(std::move(Settings)) {}
+
+  /// Starts the links and the processes.
+  Result<void> start(const Executor &Context, const Endpoint &Store);
+  void startHost(SoakHost &Host);
+
+  std::vector<SoakHost> &hosts() { return Hosts; }
+
+private:
+  Result<void> writeSettings(const SoakHost &Host, bool IsFirstStart) const;
+
+  SoakFleetSettings Settings;
+  std::vector<SoakHost> Hosts;
+};
+
+} // namespace comfreyrill::soak
--- /dev/null
+++ b/Tests/Soak/SoakTarget.cpp
@@ -0,0 +1,121 @@
+#include "SoakTarget.h"
+
+#include <LibCore/Hash.h>
+#include <StandIns/Web.h>
+
+namespace comfreyrill::soak {
+
+namespace {
+
+constexpr std::uint32_t Slots = 4;
+constexpr Duration WorkTime = std::chrono::milliseconds(40);
+constexpr int SlowFactor = 4;
+// Lets answers differ in length, so that one cut short is seen.
+constexpr std::size_t LongestBody = 20000;
+
+/// Callers name the host in the path: /read/h3/ID.
+std::size_t hostOf(std::string_view Path) {
+  const std::size_t Position = Path.find("/h");
+  return Position == std::string_view::npos
+             ? 0
+             : static_cast<std::size_t>(
+                   std::atoi(std::string(Path.substr(Position + 2)).c_str()));
+}
+
+} // namespace
+
+std::string bodyFor(const std::string &Request) {
+  const std::uint64_t Hash = stableHash({Request});
+  std::string Body = Request + ' ';
+  Body.append(Hash % LongestBody, static_cast<char>('a' + Hash % 26));
+  return Body;
+}
+
+SoakTarget::SoakTarget(const Executor &Context, const Clock &TimeSource,
+                       Random &Generator, SoakBook &Book, std::string Id,
+                       std::string Domain)
+    : Context(Context), TimeSource(TimeSource), Generator(Generator),
+      Book(Book), Id(std::move(Id)), Domain(std::move(Domain)),
+      Server(std::make_shared<HttpServer>(
+          Context, TimeSource, HttpLimits{},
+          [this](HttpRequest Request, std::shared_ptr<Disconnect> CallerLeft) {
+            return handle(std::move(Request), std::move(CallerLeft));
+          },
+          standins::refusalResponse)) {}
+
+SoakTarget::~SoakTarget() { Server->close(); }
+
+Result<void> SoakTarget::start() {
+  TRY(Server->listen({"127.0.0.1", 0}));
+  Link = std::make_shared<LoopbackProxy>(Context, Server->localEndpoint());
+  return Link->listen("127.0.0.1");
+}
+
+boost::json::value SoakTarget::registration(bool IsDraining) const {
+  return boost::json::object{
+      {"service", "stock"},   {"address", formatEndpoint(Link->endpoint())},
+      {"zone", Domain},       {"version", "1"},
+      {"slots", Slots},       {"state", IsDraining ? "draining" : "ready"},
+      {"coldLeftS", 0},       {"sequence", 1},
+      {"born", 1771918829000}};
+}
+
+std::string SoakTarget::load() const {
+  return std::to_string(Running) + ",0," + std::to_string(Slots) + "," +
+         (Fault == TargetFault::Slow ? std::to_string(SlowFactor * 100)
+                                     : "100");
+}
+
+HttpResponse SoakTarget::answerProbe(const HttpRequest &Request) const {
+  HttpResponse Health = standins::textResponse(http::status::ok, "");
+  Health.set("Backend-Id", Id);
+  Health.set("Backend-Load", load());
+  Health.set("Request-Id", Request["Request-Id"]);
+  return Health;
+}
+
+Awaitable<HttpResponse>
+SoakTarget::handle(HttpRequest Request,
+                   std::shared_ptr<Disconnect> CallerLeft) {
+  if (Request.target() == "/health")
+    co_return answerProbe(Request);
+  const auto Named = Request["Request-Id"];
+  const std::string RequestId(Named.data(), Named.size());
+  const bool IsOther = Request["Expected-Instance"] != Id;
+  const bool IsFaulty = ++Handled % 2 == 0;
+  const bool IsShed =
+      Running >= Slots || (Fault == TargetFault::Shed && IsFaulty);
+  HttpResponse Answer(http::status::ok, 11);
+  Answer.set("Request-Id", RequestId);
+  Answer.set("Backend-Load", load());
+  Book.Arrivals.push_back(
+      {RequestId, Id,
+       hostOf({Request.target().data(), Request.target().size()}),
+       TimeSource.now(), !IsOther && !IsShed});
+  if (IsOther || IsShed) {
+    Answer.result(IsOther ? http::status::misdirected_request
+                          : http::status::service_unavailable);
+    Answer.set("Not-Executed", "1");
+    Answer.prepare_payload();
+    co_return Answer;
+  }
+  ++Running;
+  std::uniform_real_distribution<double> Spread(0.5, 1.5);
+  Timer Work(Context);
+  Work.expires_after(std::chrono::duration_cast<Duration>(
+      WorkTime * Spread(Generator) *
+      (Fault == TargetFault::Slow ? SlowFactor : 1)));
+  CallerLeft->onOccurrence([&Work] { Work.cancel(); });
+  co_await Work.async_wait(UseTuple);
+  CallerLeft->onOccurrence(nullptr);
+  --Running;
+  Answer.body() = bodyFor(RequestId);
+  if (Fault == TargetFault::LoseAnswer)
+    Link->inject(LinkFault::Reset, Duration::zero());
+  if (Fault != TargetFault::Unsigned || !IsFaulty)
+    Answer.set("Response-Signature", "3e1b");
+  Answer.prepare_payload();
+  co_return Answer;
+}
+
+} // namespace comfreyrill::soak
