Tests: Compare lives in the soak's book without a defaulted operator

Cause: clang-tidy reports the code that the compiler makes for a defaulted three-way comparison (readability-identifier-naming, modernize-use-nullptr). Change: an operator< over the members. Ruled out: silencing the checks for that line.

--- a/Tests/Soak/SoakBook.cpp
+++ b/Tests/Soak/SoakBook.cpp
@@ -1,6 +1,7 @@
 #include "SoakBook.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace comfreyrill::soak {
 
@@ -74,7 +75,11 @@
     std::size_t Host;
     std::uint32_t Lifetime;
     std::uint64_t Version;
-    auto operator<=>(const Life &) const = default;
+
+    bool operator<(const Life &Other) const {
+      return std::tie(Host, Lifetime, Version) <
+             std::tie(Other.Host, Other.Lifetime, Other.Version);
+    }
   };
   std::map<Life, TimePoint> ServedAt;
   for (const CallRecord &Call : Book.Calls)
