Tests: Name the soak's ports once and correct a misplaced comment

Cause: read as a newcomer, the soak had the caller and directory ports as literals in a header beside constants in the source, and a comment on another subject above the delay of a link, which was used at half its value. Change: the ports stand in the header; the delay is named for what it is. Ruled out: one copy loop for LoopbackProxy and the byte relay, because the relay is the measured baseline of the path benchmark.

--- a/Tests/Soak/SoakFaults.cpp
+++ b/Tests/Soak/SoakFaults.cpp
@@ -14,8 +14,8 @@
 constexpr std::size_t FewestRunning = 2;
 constexpr std::size_t FewestTargets = 4;
 constexpr Duration StopTime = std::chrono::seconds(6);
-/// The connection to a host that ends stays in use until it is gone.
-constexpr Duration ProxyDelayMaximum = std::chrono::milliseconds(300);
+/// What a delayed link adds to each piece.
+constexpr Duration LinkDelay = std::chrono::milliseconds(150);
 /// Between the report of a target that it leaves, and its end.
 constexpr Duration TargetLingerTime = std::chrono::seconds(4);
 
@@ -119,7 +119,7 @@
                       Name + " for " + milliseconds(Length));
   const std::size_t Noted = beginDisturbance(Current, Host);
   const auto Kept = Link.shared_from_this();
-  Kept->inject(Fault, ProxyDelayMaximum / 2);
+  Kept->inject(Fault, LinkDelay);
   co_await sleepFor(Current, Length);
   Kept->heal();
   endDisturbance(Current, Noted);
--- a/Tests/Soak/SoakFleet.cpp
+++ b/Tests/Soak/SoakFleet.cpp
@@ -8,9 +8,7 @@
 
 namespace {
 
-constexpr std::uint16_t CallerPort = 7001;
 constexpr std::uint16_t ReadinessPort = 7002;
-constexpr std::uint16_t DirectoryPort = 7003;
 constexpr std::uint16_t PeerPort = 7004;
 constexpr std::size_t SeedCount = 3;
 
--- a/Tests/Soak/SoakFleet.h
+++ b/Tests/Soak/SoakFleet.h
@@ -11,6 +11,10 @@
 
 namespace comfreyrill::soak {
 
+// Each host has an address of its own, so that all can use the same ports.
+inline constexpr std::uint16_t CallerPort = 7001;
+inline constexpr std::uint16_t DirectoryPort = 7003;
+
 /// One gateway host. All its processes have the same name and addresses.
 struct SoakHost {
   std::string Name;
@@ -25,8 +29,8 @@
   bool IsStopping = false;
   bool IsFrozen = false;
 
-  Endpoint callers() const { return {Address, 7001}; }
-  Endpoint directory() const { return {Address, 7003}; }
+  Endpoint callers() const { return {Address, CallerPort}; }
+  Endpoint directory() const { return {Address, DirectoryPort}; }
 };
 
 struct SoakFleetSettings {
