LibPeer: Close the oldest connection instead of refusing a new one

Cause: each host asks the three seeds to join, and a seed kept that connection for up to 60 s. Change: at its limit the listener closes the least recently used connection; the limit is 1,024; a host that has joined closes the connection to a seed of another failure domain. A host that knows of no other although it has seeds assumes a fleet of 1,000 hosts, so that several such hosts stay within the budgets together. Tests: MoreHostsThanConnectionsCanSendARequest fails when the listener refuses instead. ListenerBoundsConnectionsAndMemory expected the newest connection to be closed; it now expects the least recently used one, with the same bounds on connections and memory. Ruled out: a slow start of small hosts.

--- a/Libraries/LibPeer/FrameConnection.h
+++ b/Libraries/LibPeer/FrameConnection.h
@@ -66,6 +66,7 @@
 
   bool isOpen() const { return IsOpen; }
   std::size_t bytesQueued() const { return Queue.size() - QueueOffset; }
+  TimePoint lastReceived() const { return LastReceived; }
 
 private:
   void read();
--- a/Libraries/LibPeer/PeerServer.cpp
+++ b/Libraries/LibPeer/PeerServer.cpp
@@ -1,6 +1,7 @@
 #include <LibPeer/PeerServer.h>
 
 #include <LibCore/Listen.h>
+#include <algorithm>
 #include <vector>
 
 namespace comfreyrill {
@@ -77,12 +78,31 @@
       (void)co_await RetryTimer.async_wait(UseTuple);
       continue;
     }
-    // Above the limit, the destructor of the socket closes the connection.
-    if (Connections.size() < Limits.Connections)
-      startConnection(std::move(Accepted));
+    if (Connections.size() >= Limits.Connections)
+      closeLeastRecentlyUsed();
+    startConnection(std::move(Accepted));
   }
 }
 
+// A host that joins uses its connection for one request, and a fleet may have
+// more hosts than this listener has connections. Refusing the new connection
+// would keep the host from joining until an unused connection times out.
+void PeerServer::closeLeastRecentlyUsed() {
+  const auto Oldest = std::min_element(
+      Connections.begin(), Connections.end(),
+      [](const auto &One, const auto &Other) {
+        return One->lastReceived() < Other->lastReceived();
+      });
+  if (Oldest == Connections.end())
+    return;
+  const auto Connection = *Oldest;
+  Connection->close(
+      {ErrorKind::ConnectionLost,
+       "the limit of " + std::to_string(Connections.size()) +
+           " peer connections is reached; this connection was used least "
+           "recently, raise the limit or reconnect"});
+}
+
 void PeerServer::startConnection(TcpSocket Accepted) {
   const auto Connection = std::make_shared<FrameConnection>(
       std::move(Accepted), TimeSource, Limits.Frames, Traffic);
--- a/Libraries/LibPeer/PeerServer.h
+++ b/Libraries/LibPeer/PeerServer.h
@@ -29,7 +29,8 @@
 
 struct PeerServerLimits {
   FrameLimits Frames;
-  std::size_t Connections = 256;
+  /// Above this number the least recently used connection is closed.
+  std::size_t Connections = 1024;
 };
 
 /// Server that accepts connections and messages from other hosts.
@@ -59,6 +60,7 @@
 
 private:
   Awaitable<void> accept();
+  void closeLeastRecentlyUsed();
   void startConnection(TcpSocket Accepted);
   void onMessage(const std::shared_ptr<FrameConnection> &Connection,
                  const wire::PeerMessage &Message);
--- a/Services/Gateway/FleetService.cpp
+++ b/Services/Gateway/FleetService.cpp
@@ -23,6 +23,9 @@
 // Fleet size that a new host assumes during DiscoveryTime, so that it does not
 // use the whole retry and probe budget alone.
 constexpr std::size_t AssumedHostCount = 20;
+// Fleet size that a host assumes while it knows of no other host although it
+// has seeds. Several such hosts must not exceed the budgets together.
+constexpr std::size_t UnknownFleetHostCount = 1000;
 constexpr Duration DiscoveryTime = std::chrono::seconds(3);
 // Interval of join requests to the seeds while no other host has been heard
 // from, or, on a delegate, while one of the other failure domains has not.
@@ -200,6 +203,9 @@
   Body.__set_join_request(Request);
   const auto Reply = co_await Mesh.request(
       Seed, Body, Dependencies.TimeSource.now() + JoinTimeout);
+  // The seeds would otherwise hold a connection to each host of the fleet.
+  if (Reply && !isPeer(Seed))
+    Mesh.disconnect(Seed);
   if (!Reply || !Reply.value().__isset.introduction)
     co_return;
   for (const wire::HostDescription &Introduced :
@@ -209,6 +215,13 @@
   announce();
 }
 
+bool FleetService::isPeer(const Endpoint &Remote) const {
+  return std::any_of(Members.Peers.begin(), Members.Peers.end(),
+                     [&](const Peer &Other) {
+                       return Other.Description.PeerAddress == Remote;
+                     });
+}
+
 void FleetService::addIntroducedHost(const HostDescription &Introduced) {
   if (!Introduced.isComplete())
     return;
@@ -270,7 +283,13 @@
 }
 
 std::size_t FleetService::budgetHostCount() const {
-  const std::size_t Known = Members.Peers.size() + 1 + remoteHostCount(Domains);
+  const std::size_t Others = Members.Peers.size() + remoteHostCount(Domains);
+  const bool HasSeeds = std::any_of(
+      Seeds.begin(), Seeds.end(),
+      [&](const Endpoint &Seed) { return Seed != Members.Self.PeerAddress; });
+  if (Others == 0 && HasSeeds)
+    return UnknownFleetHostCount;
+  const std::size_t Known = Others + 1;
   const bool IsNew =
       Dependencies.TimeSource.now() - Members.Started < DiscoveryTime;
   return IsNew ? std::max(Known, AssumedHostCount) : Known;
--- a/Tests/LibPeer/TestPeerMesh.cpp
+++ b/Tests/LibPeer/TestPeerMesh.cpp
@@ -230,15 +230,44 @@
   startServer(Limits);
   auto First = connectRaw();
   auto Second = connectRaw();
+  runUntil([&] { return Server->connections() == 2; });
+  TimeSource.advance(std::chrono::seconds(1));
+  asio::write(First, asio::buffer("\0", 1));
+  runUntil([&] { return Server->traffic().BytesReceived == 1; });
   auto Third = connectRaw();
-  expectClosed(Third);
+  expectClosed(Second);
+  EXPECT_EQ(Server->connections(), 2U);
   const std::string Header("\x00\x10\x00\x00", 4);
-  asio::write(First, asio::buffer(Header + std::string(100000, 'x')));
-  expectClosed(First);
+  asio::write(Third, asio::buffer(Header + std::string(100000, 'x')));
+  expectClosed(Third);
   EXPECT_LE(Server->traffic().BytesHeld, Limits.Frames.TotalBytes);
   EXPECT_EQ(Server->connections(), 1U);
 }
 
+// Guards against hosts that stay alone because the seeds' connections are
+// taken by hosts that have joined before them.
+TEST_F(PeerMeshTest, MoreHostsThanConnectionsCanSendARequest) {
+  constexpr std::size_t HostCount = 12;
+  PeerServerLimits Limits;
+  Limits.Connections = 4;
+  startServer(Limits);
+  HandleMessage = [](const wire::PeerBody &, const PeerReply &Reply) {
+    Reply.send(grantReply());
+  };
+  std::vector<std::shared_ptr<PeerMesh>> Hosts;
+  for (std::size_t Index = 0; Index < HostCount; ++Index) {
+    Hosts.push_back(std::make_shared<PeerMesh>(Context.get_executor(),
+                                               TimeSource, PeerMeshLimits{},
+                                               Random(Index)));
+    EXPECT_TRUE(run(Hosts.back()->request(Server->localEndpoint(),
+                                          grantRequest("k"),
+                                          BootClock::now() + TestTimeout))
+                    .has_value());
+    TimeSource.advance(std::chrono::milliseconds(10));
+    EXPECT_LE(Server->connections(), Limits.Connections);
+  }
+}
+
 // Guards against coroutines that are never resumed when the process stops.
 TEST_F(PeerMeshTest, DestroyedMeshFailsItsRequests) {
   HandleMessage = [&](const wire::PeerBody &, const PeerReply &) {
