LibHttp: Bound responses without end and finish requests before a stop

Each of these was possible: - An answer without a request id was taken for the answer to the request that was sent last, also a second copy of an earlier one. - An interim response (1xx) was taken for the final one, and was passed to the caller. - A target that sent responses to other requests, interim responses, chunk extensions or trailers without end kept a request busy until its deadline or grew the read buffer without limit. - A planned stop closed the listening socket while connections waited to be accepted, which resets them, and counted neither requests that were being read nor responses that were being written. Change: answers are matched as own, of another request or unidentified; an unidentified one is a failure that may have run. At most eight responses are discarded; read buffers hold 128 KB at most. The listener accepts what the kernel has accepted before it closes, and a drain waits for unfinishedRequests(). Tests: UnidentifiedResponseIsAFailure, InterimResponsesAreSkipped, EndlessBytesAreCutOff (eleven kinds of streams), StoppingServesConnectionsThatWaitToBeAccepted, RequestsCountUntilTheirResponsesAreWritten. HttpCodec.AnswersAreMatchedByRequestId accepted an answer without an id; it now expects it to be unidentified, because targets repeat the id in each answer.

--- a/Libraries/LibHttp/HttpConnection.cpp
+++ b/Libraries/LibHttp/HttpConnection.cpp
@@ -14,6 +14,9 @@
 constexpr int KeepAliveIntervalSeconds = 1;
 constexpr int KeepAliveProbeCount = 2;
 constexpr int UserTimeoutMilliseconds = 3000;
+// Responses that one exchange discards. More of them come from a peer that is
+// out of step or sends without end.
+constexpr int DiscardedResponsesMaximum = 8;
 
 } // namespace
 
@@ -50,7 +53,7 @@
 
 Awaitable<ExchangeResult<HttpResponse>>
 HttpConnection::exchange(const HttpRequest &Request, const HttpLimits &Limits,
-                         TimePoint Deadline, ResponseFilter Accepts) {
+                         TimePoint Deadline, ResponseMatcher Match) {
   const auto Self = shared_from_this();
   KeepAlive = false;
   setDeadline(Deadline);
@@ -63,16 +66,25 @@
                                          ? WriteProgress::NothingWritten
                                          : WriteProgress::MayHaveBeenRead};
   }
-  auto Response = co_await readResponse(Request, Limits);
   bool IsSynchronized = true;
-  while (Response && Accepts && !Accepts(Response.value())) {
-    if (!Socket.is_open())
+  auto Response = co_await readResponse(Request, Limits);
+  for (int Discarded = 0; Response; ++Discarded) {
+    const bool IsInterim = Response.value().result_int() < 200;
+    const ResponseMatch Found =
+        IsInterim || !Match ? ResponseMatch::Own : Match(Response.value());
+    if (!IsInterim && Found == ResponseMatch::Own)
+      break;
+    if (Found == ResponseMatch::Unidentified || !Socket.is_open() ||
+        Discarded == DiscardedResponsesMaximum) {
+      const bool IsLost = !Socket.is_open();
+      close();
       co_return ExchangeFailure{
-          Error{ErrorKind::ConnectionLost,
-                "the connection was closed after the response to another "
-                "request; check the target"},
+          Error{IsLost ? ErrorKind::ConnectionLost : ErrorKind::InvalidInput,
+                "the peer sent no response to this request but others; check "
+                "that it sends one response for each request"},
           WriteProgress::MayHaveBeenRead};
-    IsSynchronized = false;
+    }
+    IsSynchronized = IsSynchronized && IsInterim;
     Response = co_await readResponse(Request, Limits);
   }
   // A connection that delivered a response to another request is not reused,
--- a/Libraries/LibHttp/HttpConnection.h
+++ b/Libraries/LibHttp/HttpConnection.h
@@ -24,6 +24,15 @@
 using ExchangeResult =
     outcome::basic_result<T, ExchangeFailure, outcome::policy::terminate>;
 
+/// Relation of a response to the request that was sent last.
+enum class ResponseMatch {
+  Own,
+  /// A late response to an earlier request.
+  OtherRequest,
+  /// The response does not say to which request it belongs.
+  Unidentified,
+};
+
 /// HTTP/1.1 client connection. It carries one exchange, a request and its
 /// response, at a time. An exchange that does not complete closes the
 /// connection.
@@ -34,17 +43,17 @@
   /// Connects, and fails with TimedOut when the deadline passes.
   Awaitable<Result<void>> connect(Endpoint Remote, TimePoint Deadline);
 
-  /// Returns true if a response belongs to the request that was sent.
-  using ResponseFilter = std::function<bool(const HttpResponse &Response)>;
+  using ResponseMatcher =
+      std::function<ResponseMatch(const HttpResponse &Response)>;
 
-  /// Sends a request and reads the whole response before the deadline.
-  /// Responses that the filter rejects are late responses to earlier requests;
-  /// they are discarded and the next response is read. An empty filter accepts
-  /// every response.
+  /// Sends a request and reads the whole response before the deadline. A few
+  /// interim responses and late responses to other requests are discarded; an
+  /// unidentified response is a failure. Without a matcher the first final
+  /// response is taken.
   Awaitable<ExchangeResult<HttpResponse>> exchange(const HttpRequest &Request,
                                                    const HttpLimits &Limits,
                                                    TimePoint Deadline,
-                                                   ResponseFilter Accepts = {});
+                                                   ResponseMatcher Match = {});
 
   /// Aborts the exchange in progress by closing the connection.
   void cancel();
@@ -53,6 +62,9 @@
   bool isReusable();
 
 private:
+  /// The parser keeps unfinished headers, chunk extensions and trailers here.
+  static constexpr std::size_t ReadBufferBytes = std::size_t{128} * 1024;
+
   Awaitable<ExchangeResult<HttpResponse>>
   readResponse(const HttpRequest &Request, const HttpLimits &Limits);
   void enableTcpKeepAlive();
@@ -65,7 +77,7 @@
 
   TcpSocket Socket;
   Timer DeadlineTimer;
-  beast::flat_buffer Buffer;
+  beast::flat_buffer Buffer{ReadBufferBytes};
   TimePoint ActiveDeadline = TimePoint::max();
   TimePoint TimerExpiry = TimePoint::max();
   bool TimedOut = false;
--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -1,6 +1,7 @@
 #include <LibHttp/HttpServer.h>
 
 #include <LibCore/Listen.h>
+#include <algorithm>
 #include <optional>
 #include <sys/socket.h>
 
@@ -13,6 +14,10 @@
 // request.
 constexpr Duration SweepInterval = std::chrono::seconds(1);
 
+// The parser keeps unfinished headers, chunk extensions and trailers in the
+// read buffer.
+constexpr std::size_t ReadBufferBytes = std::size_t{128} * 1024;
+
 } // namespace
 
 enum class SessionPhase { Idle, Reading, Handling, Writing };
@@ -39,8 +44,16 @@
            0;
   }
 
+  /// Returns true while no byte of the next request has arrived.
+  bool isIdle() {
+    return Phase == SessionPhase::Idle && Buffer.size() == 0 &&
+           (!Parser || !Parser->got_some()) && !hasUnreadBytes();
+  }
+
   TcpSocket Socket;
-  beast::flat_buffer Buffer;
+  beast::flat_buffer Buffer{ReadBufferBytes};
+  /// Parser of the request that is being read.
+  std::optional<http::request_parser<http::string_body>> Parser;
   SessionPhase Phase = SessionPhase::Idle;
   TimePoint PhaseSince;
 };
@@ -76,16 +89,32 @@
   return outcome::success();
 }
 
+// Closing the listening socket resets the connections that wait to be accepted,
+// with the requests that their callers have sent.
 void HttpServer::stopAccepting() {
+  if (IsStopping)
+    return;
   IsStopping = true;
-  boost::system::error_code Ignored;
-  Acceptor.close(Ignored);
+  boost::system::error_code Code;
+  Acceptor.non_blocking(true, Code);
+  while (!Code) {
+    TcpSocket Accepted(Context);
+    Acceptor.accept(Accepted, Code);
+    if (!Code)
+      startSession(std::move(Accepted));
+  }
+  Acceptor.close(Code);
+}
+
+std::size_t HttpServer::unfinishedRequests() const {
+  return static_cast<std::size_t>(
+      std::count_if(Sessions.begin(), Sessions.end(),
+                    [](const auto &Open) { return !Open->isIdle(); }));
 }
 
 void HttpServer::closeIdleSessions() {
   for (const auto &ActiveSession : Sessions)
-    if (ActiveSession->Phase == SessionPhase::Idle &&
-        ActiveSession->Buffer.size() == 0 && !ActiveSession->hasUnreadBytes())
+    if (ActiveSession->isIdle())
       ActiveSession->close();
 }
 
@@ -99,32 +128,36 @@
 Awaitable<void> HttpServer::accept() {
   while (!IsStopping) {
     auto [Code, Accepted] = co_await Acceptor.async_accept(UseTuple);
-    if (Code == asio::error::operation_aborted || IsStopping)
-      co_return;
-    if (Code) {
-      // After an error such as a lack of file descriptors, an immediate retry
-      // would busy-loop.
-      Timer Pause(Context);
-      Pause.expires_after(std::chrono::milliseconds(50));
-      co_await Pause.async_wait(UseTuple);
+    if (!Code) {
+      startSession(std::move(Accepted));
       continue;
     }
-    if (Sessions.size() >= Limits.Connections)
-      continue; // The destructor of Accepted closes the connection.
-    boost::system::error_code Ignored;
-    Accepted.set_option(asio::ip::tcp::no_delay(true), Ignored);
-    auto ActiveSession = std::make_shared<Session>(std::move(Accepted));
-    ActiveSession->enter(SessionPhase::Idle, TimeSource.now());
-    Sessions.insert(ActiveSession);
-    asio::co_spawn(
-        Context,
-        [Self = shared_from_this(), ActiveSession] {
-          return Self->serve(ActiveSession);
-        },
-        asio::detached);
+    if (Code == asio::error::operation_aborted || IsStopping)
+      co_return;
+    // After an error such as a lack of file descriptors, an immediate retry
+    // would busy-loop.
+    Timer Pause(Context);
+    Pause.expires_after(std::chrono::milliseconds(50));
+    co_await Pause.async_wait(UseTuple);
   }
 }
 
+void HttpServer::startSession(TcpSocket Accepted) {
+  if (Sessions.size() >= Limits.Connections)
+    return; // The destructor of Accepted closes the connection.
+  boost::system::error_code Ignored;
+  Accepted.set_option(asio::ip::tcp::no_delay(true), Ignored);
+  auto ActiveSession = std::make_shared<Session>(std::move(Accepted));
+  ActiveSession->enter(SessionPhase::Idle, TimeSource.now());
+  Sessions.insert(ActiveSession);
+  asio::co_spawn(
+      Context,
+      [Self = shared_from_this(), ActiveSession] {
+        return Self->serve(ActiveSession);
+      },
+      asio::detached);
+}
+
 Awaitable<void> HttpServer::serve(std::shared_ptr<Session> ActiveSession) {
   while (ActiveSession->Socket.is_open() &&
          co_await serveRequest(*ActiveSession)) {
@@ -137,7 +170,7 @@
 
 Awaitable<bool> HttpServer::serveRequest(Session &ActiveSession) {
   ActiveSession.enter(SessionPhase::Idle, TimeSource.now());
-  http::request_parser<http::string_body> Parser;
+  auto &Parser = ActiveSession.Parser.emplace();
   Parser.header_limit(Limits.HeaderBytes);
   Parser.body_limit(Limits.BodyBytes);
   const auto [ReadError, ReadBytes] = co_await http::async_read(
--- a/Libraries/LibHttp/HttpServer.h
+++ b/Libraries/LibHttp/HttpServer.h
@@ -51,8 +51,9 @@
   /// still accepted. Callers then move to other hosts between two requests,
   /// when no request can be sent on a closing connection.
   void endKeepAlive() { IsClosingAfterResponse = true; }
-  /// Stops accepting connections. Open connections stay open until their next
-  /// response, which is sent with keep-alive off.
+  /// Stops accepting connections, after those that the kernel has accepted
+  /// already. Open connections stay open until their next response, which is
+  /// sent with keep-alive off.
   void stopAccepting();
   /// Closes the connections without a request in progress.
   void closeIdleSessions();
@@ -62,11 +63,15 @@
   std::size_t sessions() const { return Sessions.size(); }
   /// Number of requests that the handler is processing.
   std::size_t activeRequests() const { return ActiveRequests; }
+  /// Number of requests of which at least one byte has arrived and whose
+  /// response has not been written completely.
+  std::size_t unfinishedRequests() const;
 
 private:
   struct Session;
 
   Awaitable<void> accept();
+  void startSession(TcpSocket Accepted);
   Awaitable<void> serve(std::shared_ptr<Session> ActiveSession);
   Awaitable<bool> serveRequest(Session &ActiveSession);
   Awaitable<void> sweep();
--- a/Services/Daemon/HostDaemon.cpp
+++ b/Services/Daemon/HostDaemon.cpp
@@ -262,7 +262,7 @@
   Timer Poll(Loop.get_executor());
   while (true) {
     const DrainPhase Phase =
-        drainPhase(Current, Callers.activeRequests(), TimeSource.now());
+        drainPhase(Current, Callers.unfinishedRequests(), TimeSource.now());
     if (Phase == DrainPhase::Exit)
       break;
     if (Phase == DrainPhase::Finish) {
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -322,7 +322,7 @@
   Callers.endKeepAlive();
   Registry.find<FleetService>("fleet").value()->announce();
   LogLine Line("drain");
-  Line.field("requests", std::uint64_t{Callers.activeRequests()});
+  Line.field("requests", std::uint64_t{Callers.unfinishedRequests()});
   Dependencies->Events.writeAlways(LogLevel::Info, Line);
 
   const TimePoint AcceptDeadline =
@@ -334,14 +334,14 @@
     if (TimeSource.now() >= AcceptDeadline) {
       Callers.stopAccepting();
       Callers.closeIdleSessions();
-      if (Callers.activeRequests() == 0)
+      if (Callers.unfinishedRequests() == 0)
         break;
     }
     Poll.expires_after(DrainPollInterval);
     co_await Poll.async_wait(UseTuple);
   }
   LogLine End("stop");
-  End.field("requests", std::uint64_t{Callers.activeRequests()});
+  End.field("requests", std::uint64_t{Callers.unfinishedRequests()});
   Dependencies->Events.writeAlways(LogLevel::Info, End);
   stop();
 }
--- a/Services/Gateway/RequestExecution.cpp
+++ b/Services/Gateway/RequestExecution.cpp
@@ -240,7 +240,7 @@
   auto Answer = co_await ActiveConnection->exchange(
       platform::encodeAttempt(Request, Id, Deadline - Begin), answerLimits(),
       Deadline, [this](const HttpResponse &Response) {
-        return platform::answersRequest(Response, Metadata.Id);
+        return platform::matchAnswer(Response, Metadata.Id);
       });
   --Dependencies.CurrentState.targetStats(Id).InFlight;
   const Duration Elapsed = Dependencies.TimeSource.now() - Begin;
--- a/Services/Gateway/TargetProber.cpp
+++ b/Services/Gateway/TargetProber.cpp
@@ -83,7 +83,7 @@
     const auto Answer = co_await Connection->exchange(
         platform::encodeProbe(Address, Current->HealthPath, Id), probeLimits(),
         Deadline, [&Id](const HttpResponse &Response) {
-          return platform::answersRequest(Response, Id);
+          return platform::matchAnswer(Response, Id);
         });
     if (Answer) {
       const ProbeAnswer Read = platform::decodeProbeAnswer(Answer.value());
--- a/Tests/LibHttp/HttpFixture.h
+++ b/Tests/LibHttp/HttpFixture.h
@@ -35,6 +35,24 @@
     return startServer(std::move(Bytes), true);
   }
 
+  /// Starts a server that sends Head once and then Repeated until the client
+  /// closes the connection. SentBytes counts what was sent, up to SentMaximum.
+  Endpoint endlessServer(std::string Head, std::string Repeated) {
+    auto Acceptor = std::make_shared<TcpAcceptor>(
+        Loop.get_executor(),
+        asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    const auto Port = Acceptor->local_endpoint().port();
+    asio::co_spawn(
+        Loop,
+        serveEndlessly(std::move(Acceptor), std::move(Head),
+                       std::move(Repeated)),
+        asio::detached);
+    return {"127.0.0.1", Port};
+  }
+
+  static constexpr std::size_t SentMaximum = std::size_t{64} * 1024 * 1024;
+  std::size_t SentBytes = 0;
+
   TimePoint testDeadline() const {
     return TimeSource.now() + std::chrono::seconds(5);
   }
@@ -54,6 +72,22 @@
     return {"127.0.0.1", Port};
   }
 
+  Awaitable<void> serveEndlessly(std::shared_ptr<TcpAcceptor> Acceptor,
+                                 std::string Head, std::string Repeated) {
+    auto [AcceptError, Socket] = co_await Acceptor->async_accept(UseTuple);
+    std::array<char, 4096> Received{};
+    co_await Socket.async_read_some(asio::buffer(Received), UseTuple);
+    std::string Bytes = std::move(Head);
+    while (SentBytes < SentMaximum) {
+      const auto [WriteError, Count] =
+          co_await asio::async_write(Socket, asio::buffer(Bytes), UseTuple);
+      SentBytes += Count;
+      if (WriteError)
+        co_return;
+      Bytes = Repeated;
+    }
+  }
+
   static Awaitable<void> serveRaw(std::shared_ptr<TcpAcceptor> Acceptor,
                                   std::string Bytes, bool IsResetting) {
     auto [AcceptError, Socket] = co_await Acceptor->async_accept(UseTuple);
--- a/Tests/LibHttp/TestHttpConnection.cpp
+++ b/Tests/LibHttp/TestHttpConnection.cpp
@@ -13,7 +13,7 @@
 
   Awaitable<ExchangeOutcome>
   exchange(Endpoint Remote, TimePoint Deadline,
-           HttpConnection::ResponseFilter Filter = {}) {
+           HttpConnection::ResponseMatcher Match = {}) {
     ExchangeOutcome Out;
     const auto Connection =
         std::make_shared<HttpConnection>(Loop.get_executor());
@@ -26,7 +26,7 @@
     HttpLimits Limits;
     Limits.BodyBytes = 1000;
     auto Response = co_await Connection->exchange(Request, Limits, Deadline,
-                                                  std::move(Filter));
+                                                  std::move(Match));
     if (Response)
       Out.Response = std::move(Response.value());
     else
@@ -80,8 +80,26 @@
   EXPECT_EQ(Result.Failure.Progress, WriteProgress::MayHaveBeenRead);
 }
 
-HttpConnection::ResponseFilter acceptId(const std::string &Id) {
-  return [Id](const HttpResponse &Response) { return Response["Id"] == Id; };
+HttpConnection::ResponseMatcher acceptId(const std::string &Id) {
+  return [Id](const HttpResponse &Response) {
+    if (Response["Id"].empty())
+      return ResponseMatch::Unidentified;
+    return Response["Id"] == Id ? ResponseMatch::Own
+                                : ResponseMatch::OtherRequest;
+  };
+}
+
+// Guards against a second copy of an earlier response without an id that is
+// taken for the response to the current request.
+TEST_F(HttpConnectionTest, UnidentifiedResponseIsAFailure) {
+  const ExchangeOutcome Result =
+      run(exchange(rawServer("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold"
+                             "HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: "
+                             "3\r\n\r\nnew"),
+                   testDeadline(), acceptId("2")));
+  EXPECT_FALSE(Result.Response.has_value());
+  EXPECT_EQ(Result.Failure.Progress, WriteProgress::MayHaveBeenRead);
+  EXPECT_FALSE(Result.IsReusable);
 }
 
 // Guards against a late second response to an earlier request that is taken for
@@ -115,6 +133,53 @@
   EXPECT_EQ(Result.Failure.Cause.Kind, ErrorKind::TooLarge);
 }
 
+// Guards against an interim response (RFC 9110, section 15.2) that is taken for
+// the final one.
+TEST_F(HttpConnectionTest, InterimResponsesAreSkipped) {
+  const ExchangeOutcome Result =
+      exchangeWithRawServer("HTTP/1.1 100 Continue\r\n\r\n"
+                            "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+                            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  ASSERT_TRUE(Result.Response.has_value());
+  EXPECT_EQ(Result.Response->result_int(), 200U);
+}
+
+// Guards against bytes that never end, in each place where a parser waits for
+// more: they must not use up the memory of the host, nor the time of the caller.
+TEST_F(HttpConnectionTest, EndlessBytesAreCutOff) {
+  // Limit on what one exchange may take from the socket, beyond the socket
+  // buffers of both sides.
+  constexpr std::size_t TakenMaximum = std::size_t{12} * 1024 * 1024;
+  const std::string Filler(16 * 1024, 'x');
+  const std::string Chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::vector<std::pair<std::string, std::string>> Streams{
+      {"", Filler},
+      {"HTTP/1.1 200 ", Filler},
+      {"HTTP/1.1 200 OK\r\nName: ", Filler},
+      {"HTTP/1.1 200 OK\r\n", "Name: value\r\n"},
+      {"HTTP/1.1 200 OK\r\n\r\n", Filler},
+      {Chunked, "4000\r\n" + Filler + "\r\n"},
+      {Chunked + "5;", Filler},
+      {Chunked + "0\r\nName: ", Filler},
+      {Chunked + "0\r\n", "Name: value\r\n"},
+      {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {"", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nId: "
+           "other\r\n\r\nok"}};
+  for (const auto &[Head, Repeated] : Streams) {
+    SentBytes = 0;
+    const TimePoint Deadline = TimeSource.now() + std::chrono::seconds(60);
+    const ExchangeOutcome Result = run(
+        exchange(endlessServer(Head, Repeated), Deadline, acceptId("own")));
+    EXPECT_FALSE(Result.Response.has_value()) << Head << Repeated.substr(0, 40);
+    EXPECT_FALSE(Result.IsReusable);
+    EXPECT_EQ(Result.Failure.Progress, WriteProgress::MayHaveBeenRead);
+    Loop.restart();
+    Loop.run_for(std::chrono::milliseconds(5));
+    EXPECT_LT(SentBytes, TakenMaximum) << Head << Repeated.substr(0, 40);
+  }
+}
+
 // Guards against a request that waits for ever for a target that does not
 // respond.
 TEST_F(HttpConnectionTest, DeadlineEndsTheExchange) {
--- a/Tests/LibHttp/TestHttpServer.cpp
+++ b/Tests/LibHttp/TestHttpServer.cpp
@@ -5,6 +5,9 @@
 namespace comfreyrill {
 namespace {
 
+// More than the socket buffers of both sides hold.
+constexpr std::size_t LargeBodyBytes = std::size_t{16} * 1024 * 1024;
+
 /// Server that responds with "ok", and a client that sends raw bytes to it.
 class ServerFixture : public HttpFixture {
 public:
@@ -43,7 +46,9 @@
       co_await Pause.async_wait(UseTuple);
     }
     HttpResponse Response{http::status::ok, 11};
-    Response.body() = "ok";
+    Response.body() = Request.target() == "/large"
+                          ? std::string(LargeBodyBytes, 'x')
+                          : std::string("ok");
     Response.prepare_payload();
     co_return Response;
   }
@@ -141,6 +146,75 @@
             "HTTP/1.1 200 OK");
 }
 
+// Guards against a planned stop that resets connections which the kernel has
+// accepted, with their requests, but the server has not.
+TEST_F(HttpServerTest, StoppingServesConnectionsThatWaitToBeAccepted) {
+  constexpr std::size_t CallerCount = 5;
+  const Endpoint Remote = Server->localEndpoint();
+  asio::io_context CallerContext;
+  std::vector<asio::ip::tcp::socket> Callers;
+  for (std::size_t Index = 0; Index < CallerCount; ++Index) {
+    Callers.emplace_back(CallerContext);
+    Callers.back().connect(
+        {asio::ip::make_address(Remote.Address), Remote.Port});
+    asio::write(Callers.back(),
+                asio::buffer(ValidRequest.data(), ValidRequest.size()));
+  }
+  Server->stopAccepting();
+  Server->closeIdleSessions();
+  EXPECT_EQ(Server->unfinishedRequests(), CallerCount);
+  Loop.restart();
+  Loop.run_for(std::chrono::milliseconds(50));
+  for (auto &Caller : Callers) {
+    std::array<char, 512> ResponseBytes{};
+    boost::system::error_code Code;
+    const std::size_t Count =
+        Caller.read_some(asio::buffer(ResponseBytes), Code);
+    EXPECT_FALSE(Code) << Code.message();
+    EXPECT_EQ(std::string(ResponseBytes.data(), std::min<std::size_t>(Count, 15)),
+              "HTTP/1.1 200 OK");
+  }
+  EXPECT_EQ(Server->unfinishedRequests(), 0U);
+}
+
+// Guards against a planned stop that ends the process while a request is being
+// read or its response is being written.
+TEST_F(HttpServerTest, RequestsCountUntilTheirResponsesAreWritten) {
+  const Endpoint Remote = Server->localEndpoint();
+  asio::io_context CallerContext;
+  asio::ip::tcp::socket Reading(CallerContext);
+  Reading.connect({asio::ip::make_address(Remote.Address), Remote.Port});
+  asio::write(Reading,
+              asio::buffer(std::string("POST / HTTP/1.1\r\nHost: x\r\n"
+                                       "Content-Length: 4\r\n\r\nha")));
+  asio::ip::tcp::socket Writing(CallerContext);
+  Writing.open(asio::ip::tcp::v4());
+  Writing.set_option(asio::socket_base::receive_buffer_size(4096));
+  Writing.connect({asio::ip::make_address(Remote.Address), Remote.Port});
+  asio::write(Writing, asio::buffer(std::string(
+                           "GET /large HTTP/1.1\r\nHost: x\r\n\r\n")));
+  Loop.restart();
+  Loop.run_for(std::chrono::milliseconds(50));
+  Server->stopAccepting();
+  Server->closeIdleSessions();
+  EXPECT_EQ(Server->unfinishedRequests(), 2U);
+  asio::write(Reading, asio::buffer(std::string("lf")));
+  std::string Received;
+  asio::async_read(Writing, asio::dynamic_buffer(Received),
+                   [](const boost::system::error_code &, std::size_t) {});
+  for (int Round = 0; Round < 200 && Server->unfinishedRequests() > 0;
+       ++Round) {
+    Loop.restart();
+    Loop.run_for(std::chrono::milliseconds(5));
+    CallerContext.restart();
+    CallerContext.run_for(std::chrono::milliseconds(5));
+  }
+  EXPECT_EQ(Server->unfinishedRequests(), 0U);
+  CallerContext.restart();
+  CallerContext.run_for(std::chrono::seconds(5));
+  EXPECT_GT(Received.size(), LargeBodyBytes);
+}
+
 // Guards against a drain that closes a connection before it has sent the
 // response.
 TEST_F(HttpServerTest, EndKeepAliveClosesAfterTheResponse) {
--- a/Tests/platform/TestHttpCodec.cpp
+++ b/Tests/platform/TestHttpCodec.cpp
@@ -73,10 +73,11 @@
 // Guards against accepting the late answer to an earlier request.
 TEST(HttpCodec, AnswersAreMatchedByRequestId) {
   HttpResponse Response(http::status::ok, 11);
-  EXPECT_TRUE(answersRequest(Response, RequestId("a")));
+  EXPECT_EQ(matchAnswer(Response, RequestId("a")), ResponseMatch::Unidentified);
+  EXPECT_EQ(matchAnswer(Response, RequestId("")), ResponseMatch::Own);
   Response.set("Request-Id", "a");
-  EXPECT_TRUE(answersRequest(Response, RequestId("a")));
-  EXPECT_FALSE(answersRequest(Response, RequestId("b")));
+  EXPECT_EQ(matchAnswer(Response, RequestId("a")), ResponseMatch::Own);
+  EXPECT_EQ(matchAnswer(Response, RequestId("b")), ResponseMatch::OtherRequest);
 }
 
 TEST(HttpCodec, LocalRepliesCarryRetryAfter) {
