LibGateway: Prefer a subset of the local targets as well

Cause: a host of the large site has 130 targets in its own failure domain and takes three requests a second, so a connection is seldom used twice before it expires: 66,000 connections for 25,000 requests. Change: each host prefers 24 targets of a service in its own domain, as it does with 32 in the others. Targets outside are probed when the reports of the subset show busy or slow ones. Tests: LocalTargetsOutsideTheSubsetAreProbedWhenItIsBusy, ProbeAnswersNeedNoRequestId, RefusalWithoutRequestIdProvesNothing.

--- a/Libraries/LibGateway/TargetSelection.cpp
+++ b/Libraries/LibGateway/TargetSelection.cpp
@@ -21,10 +21,11 @@
 // the local one shows congestion or slowness, because the probe itself is
 // traffic between failure domains.
 constexpr double RemoteProbeFactor = 1.7;
-// Remote targets outside the preferred subset are probed when the latest
-// reports of the subset show busy or slow targets, because probing one of them
-// mostly needs a new connection.
-constexpr double OutsideSubsetProbeFactor = 2.6;
+// Targets outside the preferred subset are probed when the latest reports of the
+// subset show busy or slow targets, because probing one of them mostly needs a
+// new connection.
+constexpr double OutsideLocalSubsetProbeFactor = 1.4;
+constexpr double OutsideRemoteSubsetProbeFactor = 2.6;
 // An idle target at its usual speed has a latency factor of 1.
 constexpr double GoodEnoughLatencyFactor = 1.3;
 
@@ -34,9 +35,9 @@
 
 double probeLocalityFactor(const TargetCandidate &Candidate) {
   if (Candidate.IsInLocalDomain)
-    return 1;
+    return Candidate.IsInPreferredSubset ? 1 : OutsideLocalSubsetProbeFactor;
   return Candidate.IsInPreferredSubset ? RemoteProbeFactor
-                                       : OutsideSubsetProbeFactor;
+                                       : OutsideRemoteSubsetProbeFactor;
 }
 
 // Time constant for the exponential decay of a load report's weight. The load
--- a/Libraries/LibGateway/TargetSelection.h
+++ b/Libraries/LibGateway/TargetSelection.h
@@ -16,8 +16,8 @@
   TargetId Id;
   /// The target is in the failure domain of this host.
   bool IsInLocalDomain = false;
-  /// The target belongs to the subset of remote targets that this host prefers,
-  /// so that its connections to them are reused.
+  /// The target belongs to the subset of local or remote targets that this host
+  /// prefers, so that its connections to them are reused.
   bool IsInPreferredSubset = true;
   /// The target started recently and is still slow.
   bool IsCold = false;
--- a/Services/Gateway/GatewayState.cpp
+++ b/Services/Gateway/GatewayState.cpp
@@ -13,10 +13,11 @@
 // ejection. Limited, because services without such requests must be able to use
 // the target again, too.
 constexpr Duration ProbationTime = std::chrono::seconds(2);
-// Number of remote targets that a host prefers over the other remote ones. With
-// hundreds of targets, a host would send to each one so rarely that its
-// connections would expire unused.
-constexpr double PreferredSubsetSize = 32;
+// Numbers of targets of a service that a host prefers over the others of its own
+// failure domain and of the other ones. With hundreds of targets, a host would
+// send to each one so rarely that its connections would expire unused.
+constexpr double LocalSubsetSize = 24;
+constexpr double RemoteSubsetSize = 32;
 
 bool isOnProbation(const OutlierState &State, TimePoint Now) {
   return State.Ejections > 0 && State.Successes == 0 && !State.Ejected &&
@@ -125,10 +126,13 @@
                      isOnProbation(Stats.Outlier, Now), Stats.Load,
                      Now - Stats.LoadObservedAt, Stats.InFlight});
   }
+  const auto LocalCount = static_cast<double>(Found.size() - RemoteCount);
   for (std::size_t Index = 0; Index < Found.size(); ++Index)
     Found[Index].IsInPreferredSubset =
-        Preferences[Index] * static_cast<double>(RemoteCount) <
-        PreferredSubsetSize;
+        Found[Index].IsInLocalDomain
+            ? Preferences[Index] * LocalCount < LocalSubsetSize
+            : Preferences[Index] * static_cast<double>(RemoteCount) <
+                  RemoteSubsetSize;
   return Found;
 }
 
--- a/Services/Gateway/GatewayState.h
+++ b/Services/Gateway/GatewayState.h
@@ -37,7 +37,7 @@
 struct TargetStats {
   OutlierState Outlier;
   /// Random number between 0 and 1, drawn once, that selects the preferred
-  /// subset of remote targets. Each host draws its own, so the subsets differ.
+  /// subsets of targets. Each host draws its own, so the subsets differ.
   std::optional<double> Preference;
   /// Outcomes of own attempts that are not yet shared with the other hosts.
   AttemptCounts Unshared;
--- a/Services/Gateway/TargetProber.cpp
+++ b/Services/Gateway/TargetProber.cpp
@@ -83,7 +83,11 @@
     const auto Answer = co_await Connection->exchange(
         platform::encodeProbe(Address, Current->HealthPath, Id), probeLimits(),
         Deadline, [&Id](const HttpResponse &Response) {
-          return platform::matchAnswer(Response, Id);
+          // The health path of some targets does not repeat the request id. A
+          // late answer of that path only misstates the load.
+          const ResponseMatch Match = platform::matchAnswer(Response, Id);
+          return Match == ResponseMatch::Unidentified ? ResponseMatch::Own
+                                                      : Match;
         });
     if (Answer) {
       const ProbeAnswer Read = platform::decodeProbeAnswer(Answer.value());
--- a/Tests/Gateway/TestRequestExecution.cpp
+++ b/Tests/Gateway/TestRequestExecution.cpp
@@ -23,7 +23,8 @@
               if (Request.target() == "/health") {
                 HttpResponse Health(http::status::ok, 11);
                 Health.set("Backend-Load", Load);
-                Health.set("Request-Id", Request["Request-Id"]);
+                if (RepeatsProbeId)
+                  Health.set("Request-Id", Request["Request-Id"]);
                 Health.prepare_payload();
                 co_return Health;
               }
@@ -44,6 +45,7 @@
   std::string Load = "0,0,6,100";
   int Runs = 0;
   bool HasCallerLeft = false;
+  bool RepeatsProbeId = true;
 
 private:
   std::shared_ptr<HttpServer> Server;
@@ -62,15 +64,23 @@
   co_return signedAnswer(Request, "whole");
 }
 
-Awaitable<HttpResponse> answerShed(const HttpRequest &) {
+Awaitable<HttpResponse> answerShed(const HttpRequest &Request) {
   HttpResponse Shed(http::status::service_unavailable, 11);
+  Shed.set("Request-Id", Request["Request-Id"]);
   Shed.set("Not-Executed", "1");
   Shed.prepare_payload();
   co_return Shed;
 }
 
-Awaitable<HttpResponse> answerUnsigned(const HttpRequest &) {
+Awaitable<HttpResponse> answerShedWithoutId(const HttpRequest &Request) {
+  HttpResponse Shed = co_await answerShed(Request);
+  Shed.erase("Request-Id");
+  co_return Shed;
+}
+
+Awaitable<HttpResponse> answerUnsigned(const HttpRequest &Request) {
   HttpResponse Made(http::status::ok, 11);
+  Made.set("Request-Id", Request["Request-Id"]);
   Made.body() = "not the target's";
   Made.prepare_payload();
   co_return Made;
@@ -194,6 +204,30 @@
   EXPECT_EQ(Free.Runs, 1);
 }
 
+// Guards against probes that fail at targets whose health path does not repeat
+// the request id.
+TEST_F(RequestExecutionTest, ProbeAnswersNeedNoRequestId) {
+  configure(ExecutionSemantics::AtMostOnce);
+  FakeTarget &Only = addTarget(answerWhole);
+  Only.RepeatsProbeId = false;
+  begin();
+  EXPECT_EQ(finish().result(), http::status::ok);
+  EXPECT_EQ(Only.Runs, 1);
+}
+
+// Guards against a late copy of the refusal of an earlier request that is taken
+// as proof that this one has not run.
+TEST_F(RequestExecutionTest, RefusalWithoutRequestIdProvesNothing) {
+  configure(ExecutionSemantics::AtMostOnce);
+  FakeTarget &Faulty = addTarget(answerShedWithoutId);
+  FakeTarget &Free = addTarget(answerWhole);
+  preferFirstTarget();
+  begin();
+  EXPECT_EQ(finish().result(), http::status::bad_gateway);
+  EXPECT_EQ(Faulty.Runs, 1);
+  EXPECT_EQ(Free.Runs, 0);
+}
+
 // Guards against a second run of a request that must not run twice, and against
 // the claim that a request has not run when it may have.
 TEST_F(RequestExecutionTest, InvalidAnswerIsNotRetriedOnAnAtMostOnceRoute) {
--- a/Tests/LibGateway/TestTargetSelection.cpp
+++ b/Tests/LibGateway/TestTargetSelection.cpp
@@ -54,6 +54,29 @@
             "far");
 }
 
+// Guards against a new connection for nearly every probe in a fleet with
+// hundreds of targets, and against a subset that is kept while it is busy.
+TEST(TargetSelection, LocalTargetsOutsideTheSubsetAreProbedWhenItIsBusy) {
+  Random Generator(3);
+  const auto ProbedOutside = [&](const LoadReport &SubsetLoad) {
+    std::vector<TargetCandidate> Candidates;
+    for (int Index = 0; Index < 100; ++Index) {
+      Candidates.push_back(candidate("t" + std::to_string(Index)));
+      Candidates.back().IsInPreferredSubset = Index < 20;
+      if (Index < 20)
+        Candidates.back().LastLoad = SubsetLoad;
+    }
+    std::size_t Outside = 0;
+    for (int Round = 0; Round < 100; ++Round)
+      for (const TargetCandidate &Selected :
+           selectProbeCandidates(Candidates, 3, Generator))
+        Outside += Selected.IsInPreferredSubset ? 0 : 1;
+    return Outside;
+  };
+  EXPECT_EQ(ProbedOutside(load(1, 6)), 0U);
+  EXPECT_EQ(ProbedOutside(load(6, 6, 4)), 300U);
+}
+
 // Guards against rejecting all requests of a service because its targets report
 // themselves as unhealthy although they work.
 TEST(TargetSelection, UnhealthyAndSuspectTargetsAreTheLastResort) {
