LibMembership: Send pushed revisions with the next heartbeat

Cause: each change of a target made each host of a failure domain announce its new revision to all others at once: 63 hosts sent 3,900 heartbeats for one change, although the watcher had pushed it to all of them. Change: only the host that reads the store, and hosts that fetched the whole list, announce a revision at once. Connections between hosts start with 1 KB buffers and keep at most 8 KB when empty (4 and 64 KB before): a host of the large site has 124 of them. Test: RecordedFleetVersionWaitsForTheNextHeartbeat.

--- a/Libraries/LibMembership/MemberTable.cpp
+++ b/Libraries/LibMembership/MemberTable.cpp
@@ -125,6 +125,10 @@
          announce(Table, Table.Self.FleetVersion, Version, Now);
 }
 
+void recordFleetVersion(MemberTable &Table, std::uint64_t Version) {
+  Table.Self.FleetVersion = std::max(Table.Self.FleetVersion, Version);
+}
+
 bool announcePlatformReachability(MemberTable &Table, bool IsReached,
                                   TimePoint Now) {
   return announce(Table, Table.Self.ReachesPlatform, IsReached, Now);
--- a/Libraries/LibMembership/MemberTable.h
+++ b/Libraries/LibMembership/MemberTable.h
@@ -147,6 +147,9 @@
                             TimePoint Now);
 bool announceFleetVersion(MemberTable &Table, std::uint64_t Version,
                           TimePoint Now);
+/// Records a higher version of this host without announcing it at once; the
+/// next heartbeat to each peer carries it.
+void recordFleetVersion(MemberTable &Table, std::uint64_t Version);
 /// Records whether the last call has reached the platform.
 bool announcePlatformReachability(MemberTable &Table, bool IsReached,
                                   TimePoint Now);
--- a/Libraries/LibPeer/FrameConnection.cpp
+++ b/Libraries/LibPeer/FrameConnection.cpp
@@ -9,10 +9,11 @@
 
 namespace {
 
-// Large enough for a heartbeat and several grant requests.
-constexpr std::size_t InitialBufferBytes = 4096;
+// Large enough for several heartbeats. A host has two connections to each other
+// host of its failure domain.
+constexpr std::size_t InitialBufferBytes = 1024;
 // Larger buffers are shrunk once they are empty.
-constexpr std::size_t MaximumRetainedBufferBytes = std::size_t{64} * 1024;
+constexpr std::size_t MaximumRetainedBufferBytes = std::size_t{8} * 1024;
 
 Error connectionLost(const std::string &Cause) {
   return {ErrorKind::ConnectionLost, "the connection to the peer was lost (" +
--- a/Services/Gateway/FleetService.cpp
+++ b/Services/Gateway/FleetService.cpp
@@ -115,7 +115,7 @@
   else if (Body.__isset.load_notice)
     Loads.onLoadNotice(Body.load_notice);
   else if (Body.__isset.target_update)
-    Replicator.onTargetUpdate(Body.target_update);
+    Replicator.onTargetUpdate(Body.target_update, UpdateSource::Push);
   else if (Body.__isset.document_request)
     Replicator.onDocumentRequest(Body.document_request, Reply);
 }
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -130,7 +130,7 @@
       Configured.Store, *StoreConnections, TimeSource);
   const auto Store = std::make_shared<StoreWatcher>(
       *Dependencies, *Client,
-      [Replicator = Replicator.get()] { Replicator->publish(true); });
+      [Replicator = Replicator.get()] { Replicator->publish(UpdateSource::Store); });
   Replicator->onChange([this] { onStateChange(); });
   Fleet->onTick([this] { updateStoreRole(); });
   TRY(Registry.add("domains", Domains));
@@ -303,7 +303,7 @@
     Connections.closeExpired();
     StoreConnections.closeExpired();
     if (Dependencies->CurrentState.removeExpired() && Store.isSynchronized())
-      Replicator.publish(true);
+      Replicator.publish(UpdateSource::Store);
   }
 }
 
--- a/Services/Gateway/StateReplicator.cpp
+++ b/Services/Gateway/StateReplicator.cpp
@@ -26,10 +26,13 @@
     : Dependencies(Dependencies), Members(Members), Domains(Domains),
       Mesh(Mesh) {}
 
-void StateReplicator::publish(bool IsFromStore) {
+// All hosts of the failure domain receive a push, so its receivers need not
+// announce its revision at once. The number of announcements would grow with the
+// square of the hosts.
+void StateReplicator::publish(UpdateSource Source) {
   const TimePoint Now = Dependencies.TimeSource.now();
   const TargetDelta Delta = Dependencies.CurrentState.takePendingDelta();
-  if (IsFromStore && !Delta.Changes.empty()) {
+  if (Source == UpdateSource::Store && !Delta.Changes.empty()) {
     wire::PeerBody Body;
     Body.__set_target_update(toWire(Delta));
     for (const Peer &Other : Members.Peers)
@@ -39,8 +42,12 @@
   }
   announceManifestNumber(Members, {Dependencies.CurrentState.version().Value},
                          Now);
-  announceFleetVersion(Members,
-                       Dependencies.CurrentState.targets().Revision.Value, Now);
+  const std::uint64_t Revision =
+      Dependencies.CurrentState.targets().Revision.Value;
+  if (Source == UpdateSource::Push)
+    recordFleetVersion(Members, Revision);
+  else
+    announceFleetVersion(Members, Revision, Now);
   if (OnChange)
     OnChange();
 }
@@ -99,7 +106,7 @@
   if (Reply.value().__isset.document_reply)
     handleConfiguration(Reply.value().document_reply.value);
   else if (Reply.value().__isset.target_update)
-    onTargetUpdate(Reply.value().target_update);
+    onTargetUpdate(Reply.value().target_update, UpdateSource::Fetch);
 }
 
 void StateReplicator::handleConfiguration(const std::string &Compressed) {
@@ -114,10 +121,11 @@
   }
   if (Dependencies.CurrentState.applyConfiguration(std::move(Read.value()),
                                                    Compressed, "host"))
-    publish(false);
+    publish(UpdateSource::Fetch);
 }
 
-void StateReplicator::onTargetUpdate(const wire::TargetUpdate &Update) {
+void StateReplicator::onTargetUpdate(const wire::TargetUpdate &Update,
+                                     UpdateSource Source) {
   const auto Delta = fromWire(Update);
   if (!Delta) {
     ++Dependencies.ProcessMetrics.counter("peer_messages_invalid_total");
@@ -126,7 +134,7 @@
   // A delta that starts after the current revision is dropped. The sender has
   // announced its higher revision, so this host fetches all targets.
   if (Dependencies.CurrentState.applyTargetDelta(Delta.value(), "host"))
-    publish(false);
+    publish(Source);
 }
 
 void StateReplicator::onDocumentRequest(const wire::DocumentRequest &Message,
--- a/Services/Gateway/StateReplicator.h
+++ b/Services/Gateway/StateReplicator.h
@@ -11,6 +11,17 @@
 
 namespace comfreyrill {
 
+/// How a change of the state has reached this host.
+enum class UpdateSource {
+  /// From the store, which this host watches.
+  Store,
+  /// From the host that watches the store, which sends it to all hosts of the
+  /// failure domain.
+  Push,
+  /// From a host that this one has asked.
+  Fetch,
+};
+
 /// Replicates the configuration and the targets between hosts. The host that
 /// watches the store pushes target changes to the hosts of its failure domain;
 /// a host whose version or revision is out of date fetches the current one.
@@ -25,13 +36,13 @@
 
   /// Announces the current configuration version and target revision, and
   /// pushes target changes when they come from the store.
-  void publish(bool IsFromStore);
+  void publish(UpdateSource Source);
 
   /// Fetches newer versions that other hosts have announced. Called several
   /// times a second.
   void tick();
 
-  void onTargetUpdate(const wire::TargetUpdate &Update);
+  void onTargetUpdate(const wire::TargetUpdate &Update, UpdateSource Source);
   void onDocumentRequest(const wire::DocumentRequest &Message,
                          const PeerReply &Reply) const;
 
--- a/Tests/LibMembership/TestHeartbeatProcessing.cpp
+++ b/Tests/LibMembership/TestHeartbeatProcessing.cpp
@@ -48,6 +48,25 @@
   RC_ASSERT(Table.Peers[0].Description == Newest);
 }
 
+// Guards against heartbeats between all hosts for each change of a target, which
+// all of them have received already.
+TEST(HeartbeatProcessing, RecordedFleetVersionWaitsForTheNextHeartbeat) {
+  auto Table = anyTable();
+  Random Generator(1);
+  for (int Index = 1; Index <= 3; ++Index)
+    processHeartbeat(Table, heartbeat(describe(Index, 7, 1), 1), Now);
+  while (!dueHeartbeats(Table, Now, Generator).empty()) {
+  }
+  recordFleetVersion(Table, 5);
+  EXPECT_TRUE(dueHeartbeats(Table, Now, Generator).empty());
+  announceFleetVersion(Table, 6, Now);
+  const auto Due = dueHeartbeats(Table, Now, Generator);
+  ASSERT_EQ(Due.size(), 3U);
+  EXPECT_EQ(Due.front().Content.Sender.FleetVersion, 6U);
+  recordFleetVersion(Table, 4);
+  EXPECT_EQ(Table.Self.FleetVersion, 6U);
+}
+
 // Guards against a crashed host that stays alive because other hosts list it.
 TEST(HeartbeatProcessing, RelayedDescriptionNeverMakesAHostAlive) {
   auto Table = anyTable();
