--- a/Libraries/LibGateway/TargetSelection.cpp
+++ b/Libraries/LibGateway/TargetSelection.cpp
@@ -21,9 +21,9 @@
 // the local one shows congestion or slowness, because the probe itself is
 // traffic between failure domains.
 constexpr double RemoteProbeFactor = 1.7;
-// Targets outside the preferred subset are probed when the latest reports of the
-// subset show busy or slow targets, because probing one of them mostly needs a
-// new connection.
+// Targets outside the preferred subset are probed when the latest reports of
+// the subset show busy or slow targets, because probing one of them mostly
+// needs a new connection.
 constexpr double OutsideLocalSubsetProbeFactor = 1.4;
 constexpr double OutsideRemoteSubsetProbeFactor = 2.6;
 // An idle target at its usual speed has a latency factor of 1.
--- a/Libraries/LibPeer/PeerServer.cpp
+++ b/Libraries/LibPeer/PeerServer.cpp
@@ -88,11 +88,11 @@
 // more hosts than this listener has connections. Refusing the new connection
 // would keep the host from joining until an unused connection times out.
 void PeerServer::closeLeastRecentlyUsed() {
-  const auto Oldest = std::min_element(
-      Connections.begin(), Connections.end(),
-      [](const auto &One, const auto &Other) {
-        return One->lastReceived() < Other->lastReceived();
-      });
+  const auto Oldest =
+      std::min_element(Connections.begin(), Connections.end(),
+                       [](const auto &One, const auto &Other) {
+                         return One->lastReceived() < Other->lastReceived();
+                       });
   if (Oldest == Connections.end())
     return;
   const auto Connection = *Oldest;
--- a/Services/Gateway/FleetService.cpp
+++ b/Services/Gateway/FleetService.cpp
@@ -284,9 +284,10 @@
 
 std::size_t FleetService::budgetHostCount() const {
   const std::size_t Others = Members.Peers.size() + remoteHostCount(Domains);
-  const bool HasSeeds = std::any_of(
-      Seeds.begin(), Seeds.end(),
-      [&](const Endpoint &Seed) { return Seed != Members.Self.PeerAddress; });
+  const bool HasSeeds =
+      std::any_of(Seeds.begin(), Seeds.end(), [&](const Endpoint &Seed) {
+        return Seed != Members.Self.PeerAddress;
+      });
   if (Others == 0 && HasSeeds)
     return UnknownFleetHostCount;
   const std::size_t Known = Others + 1;
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -129,8 +129,9 @@
   const auto Client = std::make_shared<platform::StoreClient>(
       Configured.Store, *StoreConnections, TimeSource);
   const auto Store = std::make_shared<StoreWatcher>(
-      *Dependencies, *Client,
-      [Replicator = Replicator.get()] { Replicator->publish(UpdateSource::Store); });
+      *Dependencies, *Client, [Replicator = Replicator.get()] {
+        Replicator->publish(UpdateSource::Store);
+      });
   Replicator->onChange([this] { onStateChange(); });
   Fleet->onTick([this] { updateStoreRole(); });
   TRY(Registry.add("domains", Domains));
--- a/Services/Gateway/GatewayState.cpp
+++ b/Services/Gateway/GatewayState.cpp
@@ -13,9 +13,9 @@
 // ejection. Limited, because services without such requests must be able to use
 // the target again, too.
 constexpr Duration ProbationTime = std::chrono::seconds(2);
-// Numbers of targets of a service that a host prefers over the others of its own
-// failure domain and of the other ones. With hundreds of targets, a host would
-// send to each one so rarely that its connections would expire unused.
+// Numbers of targets of a service that a host prefers over the others of its
+// own failure domain and of the other ones. With hundreds of targets, a host
+// would send to each one so rarely that its connections would expire unused.
 constexpr double LocalSubsetSize = 24;
 constexpr double RemoteSubsetSize = 32;
 
--- a/Services/Gateway/StateReplicator.cpp
+++ b/Services/Gateway/StateReplicator.cpp
@@ -27,8 +27,8 @@
       Mesh(Mesh) {}
 
 // All hosts of the failure domain receive a push, so its receivers need not
-// announce its revision at once. The number of announcements would grow with the
-// square of the hosts.
+// announce its revision at once. The number of announcements would grow with
+// the square of the hosts.
 void StateReplicator::publish(UpdateSource Source) {
   const TimePoint Now = Dependencies.TimeSource.now();
   const TargetDelta Delta = Dependencies.CurrentState.takePendingDelta();
--- a/Tests/LibHttp/HttpFixture.h
+++ b/Tests/LibHttp/HttpFixture.h
@@ -42,11 +42,10 @@
         Loop.get_executor(),
         asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
     const auto Port = Acceptor->local_endpoint().port();
-    asio::co_spawn(
-        Loop,
-        serveEndlessly(std::move(Acceptor), std::move(Head),
-                       std::move(Repeated)),
-        asio::detached);
+    asio::co_spawn(Loop,
+                   serveEndlessly(std::move(Acceptor), std::move(Head),
+                                  std::move(Repeated)),
+                   asio::detached);
     return {"127.0.0.1", Port};
   }
 
--- a/Tests/LibHttp/TestHttpConnection.cpp
+++ b/Tests/LibHttp/TestHttpConnection.cpp
@@ -145,7 +145,8 @@
 }
 
 // Guards against bytes that never end, in each place where a parser waits for
-// more: they must not use up the memory of the host, nor the time of the caller.
+// more: they must not use up the memory of the host, nor the time of the
+// caller.
 TEST_F(HttpConnectionTest, EndlessBytesAreCutOff) {
   // Limit on what one exchange may take from the socket, beyond the socket
   // buffers of both sides.
@@ -169,8 +170,8 @@
   for (const auto &[Head, Repeated] : Streams) {
     SentBytes = 0;
     const TimePoint Deadline = TimeSource.now() + std::chrono::seconds(60);
-    const ExchangeOutcome Result = run(
-        exchange(endlessServer(Head, Repeated), Deadline, acceptId("own")));
+    const ExchangeOutcome Result =
+        run(exchange(endlessServer(Head, Repeated), Deadline, acceptId("own")));
     EXPECT_FALSE(Result.Response.has_value()) << Head << Repeated.substr(0, 40);
     EXPECT_FALSE(Result.IsReusable);
     EXPECT_EQ(Result.Failure.Progress, WriteProgress::MayHaveBeenRead);
--- a/Tests/LibHttp/TestHttpServer.cpp
+++ b/Tests/LibHttp/TestHttpServer.cpp
@@ -171,8 +171,9 @@
     const std::size_t Count =
         Caller.read_some(asio::buffer(ResponseBytes), Code);
     EXPECT_FALSE(Code) << Code.message();
-    EXPECT_EQ(std::string(ResponseBytes.data(), std::min<std::size_t>(Count, 15)),
-              "HTTP/1.1 200 OK");
+    EXPECT_EQ(
+        std::string(ResponseBytes.data(), std::min<std::size_t>(Count, 15)),
+        "HTTP/1.1 200 OK");
   }
   EXPECT_EQ(Server->unfinishedRequests(), 0U);
 }
--- a/Tests/LibMembership/TestHeartbeatProcessing.cpp
+++ b/Tests/LibMembership/TestHeartbeatProcessing.cpp
@@ -48,8 +48,8 @@
   RC_ASSERT(Table.Peers[0].Description == Newest);
 }
 
-// Guards against heartbeats between all hosts for each change of a target, which
-// all of them have received already.
+// Guards against heartbeats between all hosts for each change of a target,
+// which all of them have received already.
 TEST(HeartbeatProcessing, RecordedFleetVersionWaitsForTheNextHeartbeat) {
   auto Table = anyTable();
   Random Generator(1);
--- a/Tests/LibPeer/TestPeerMesh.cpp
+++ b/Tests/LibPeer/TestPeerMesh.cpp
@@ -256,13 +256,12 @@
   };
   std::vector<std::shared_ptr<PeerMesh>> Hosts;
   for (std::size_t Index = 0; Index < HostCount; ++Index) {
-    Hosts.push_back(std::make_shared<PeerMesh>(Context.get_executor(),
-                                               TimeSource, PeerMeshLimits{},
-                                               Random(Index)));
-    EXPECT_TRUE(run(Hosts.back()->request(Server->localEndpoint(),
-                                          grantRequest("k"),
-                                          BootClock::now() + TestTimeout))
-                    .has_value());
+    Hosts.push_back(std::make_shared<PeerMesh>(
+        Context.get_executor(), TimeSource, PeerMeshLimits{}, Random(Index)));
+    EXPECT_TRUE(
+        run(Hosts.back()->request(Server->localEndpoint(), grantRequest("k"),
+                                  BootClock::now() + TestTimeout))
+            .has_value());
     TimeSource.advance(std::chrono::milliseconds(10));
     EXPECT_LE(Server->connections(), Limits.Connections);
   }
