--- a/Tests/LibHttp/TestHttpConnection.cpp
+++ b/Tests/LibHttp/TestHttpConnection.cpp
@@ -151,7 +151,8 @@
   // Limit on what one exchange may take from the socket, beyond the socket
   // buffers of both sides.
   constexpr std::size_t TakenMaximum = std::size_t{12} * 1024 * 1024;
-  const std::string Filler(16 * 1024, 'x');
+  constexpr std::size_t FillerBytes = std::size_t{16} * 1024;
+  const std::string Filler(FillerBytes, 'x');
   const std::string Chunked =
       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
   const std::vector<std::pair<std::string, std::string>> Streams{
