LibHttp: Keep what both ends of a connection share in one place

Cause: found on reading the change again. Change: ReadBufferBytes and ResponseMatch stand in Http.h, isKnownAddress() serves heartbeats and joins, a joining host reads the introduction before it decides about the connection, and the seeds are compared only while no other host is known. No other behaviour changes.

--- a/Libraries/LibHttp/Http.h
+++ b/Libraries/LibHttp/Http.h
@@ -14,6 +14,19 @@
 using HttpRequest = http::request<http::string_body>;
 using HttpResponse = http::response<http::string_body>;
 
+/// Size of the read buffer of a connection. Parsers keep unfinished headers,
+/// chunk extensions and trailers in it, which a peer may send without end.
+inline constexpr std::size_t ReadBufferBytes = std::size_t{128} * 1024;
+
+/// Relation of a response to the request that was sent last.
+enum class ResponseMatch {
+  Own,
+  /// A late response to an earlier request.
+  OtherRequest,
+  /// The response does not say to which request it belongs.
+  Unidentified,
+};
+
 /// Limits on message sizes, times and the number of connections.
 struct HttpLimits {
   std::uint32_t HeaderBytes = 16 * 1024;
--- a/Libraries/LibHttp/HttpConnection.h
+++ b/Libraries/LibHttp/HttpConnection.h
@@ -24,15 +24,6 @@
 using ExchangeResult =
     outcome::basic_result<T, ExchangeFailure, outcome::policy::terminate>;
 
-/// Relation of a response to the request that was sent last.
-enum class ResponseMatch {
-  Own,
-  /// A late response to an earlier request.
-  OtherRequest,
-  /// The response does not say to which request it belongs.
-  Unidentified,
-};
-
 /// HTTP/1.1 client connection. It carries one exchange, a request and its
 /// response, at a time. An exchange that does not complete closes the
 /// connection.
@@ -62,9 +53,6 @@
   bool isReusable();
 
 private:
-  /// The parser keeps unfinished headers, chunk extensions and trailers here.
-  static constexpr std::size_t ReadBufferBytes = std::size_t{128} * 1024;
-
   Awaitable<ExchangeResult<HttpResponse>>
   readResponse(const HttpRequest &Request, const HttpLimits &Limits);
   void enableTcpKeepAlive();
--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -14,10 +14,6 @@
 // request.
 constexpr Duration SweepInterval = std::chrono::seconds(1);
 
-// The parser keeps unfinished headers, chunk extensions and trailers in the
-// read buffer.
-constexpr std::size_t ReadBufferBytes = std::size_t{128} * 1024;
-
 } // namespace
 
 enum class SessionPhase { Idle, Reading, Handling, Writing };
--- a/Libraries/LibMembership/Heartbeats.cpp
+++ b/Libraries/LibMembership/Heartbeats.cpp
@@ -63,14 +63,6 @@
   return ActiveHosts;
 }
 
-bool isKnownSeed(const MemberTable &Table, const Endpoint &Seed) {
-  return Seed == Table.Self.PeerAddress ||
-         std::any_of(Table.Peers.begin(), Table.Peers.end(),
-                     [&](const Peer &Other) {
-                       return Other.Description.PeerAddress == Seed;
-                     });
-}
-
 // Chooses a random peer for the periodic full list of hosts. Peers that become
 // active get the list as well. The periodic list is anti-entropy: it removes
 // differences between the views of two hosts.
@@ -154,7 +146,7 @@
         Now +
         withJitter(IsAlone ? Interval : Settings.LostProbeInterval, Generator);
     for (const auto &Seed : Table.Seeds)
-      if (!isKnownSeed(Table, Seed))
+      if (!isKnownAddress(Table, Seed))
         Due.push_back({Seed, {Table.Self, Changes}});
   }
   return Due;
--- a/Libraries/LibMembership/MemberTable.cpp
+++ b/Libraries/LibMembership/MemberTable.cpp
@@ -75,6 +75,14 @@
       findPeer(static_cast<const MemberTable &>(Table), Host));
 }
 
+bool isKnownAddress(const MemberTable &Table, const Endpoint &Remote) {
+  return Remote == Table.Self.PeerAddress ||
+         std::any_of(Table.Peers.begin(), Table.Peers.end(),
+                     [&](const Peer &Other) {
+                       return Other.Description.PeerAddress == Remote;
+                     });
+}
+
 // Lost peers count until they are removed, so that the interval of all hosts
 // does not change each time one of them fails.
 Duration heartbeatInterval(const MemberTable &Table) {
--- a/Libraries/LibMembership/MemberTable.h
+++ b/Libraries/LibMembership/MemberTable.h
@@ -129,6 +129,9 @@
 const Peer *findPeer(const MemberTable &Table, const HostId &Host);
 Peer *findPeer(MemberTable &Table, const HostId &Host);
 
+/// True when this host or one of its peers has this peer address.
+bool isKnownAddress(const MemberTable &Table, const Endpoint &Remote);
+
 /// Time between two heartbeats to the same peer.
 Duration heartbeatInterval(const MemberTable &Table);
 /// Time without a heartbeat after which a peer is suspect.
--- a/Services/Gateway/FleetService.cpp
+++ b/Services/Gateway/FleetService.cpp
@@ -203,25 +203,18 @@
   Body.__set_join_request(Request);
   const auto Reply = co_await Mesh.request(
       Seed, Body, Dependencies.TimeSource.now() + JoinTimeout);
-  // The seeds would otherwise hold a connection to each host of the fleet.
-  if (Reply && !isPeer(Seed))
-    Mesh.disconnect(Seed);
   if (!Reply || !Reply.value().__isset.introduction)
     co_return;
   for (const wire::HostDescription &Introduced :
        Reply.value().introduction.hosts)
     if (const auto Read = fromWire(Introduced))
       addIntroducedHost(Read.value());
+  // The seeds would otherwise hold a connection to each host of the fleet.
+  if (!isKnownAddress(Members, Seed))
+    Mesh.disconnect(Seed);
   announce();
 }
 
-bool FleetService::isPeer(const Endpoint &Remote) const {
-  return std::any_of(Members.Peers.begin(), Members.Peers.end(),
-                     [&](const Peer &Other) {
-                       return Other.Description.PeerAddress == Remote;
-                     });
-}
-
 void FleetService::addIntroducedHost(const HostDescription &Introduced) {
   if (!Introduced.isComplete())
     return;
@@ -284,11 +277,10 @@
 
 std::size_t FleetService::budgetHostCount() const {
   const std::size_t Others = Members.Peers.size() + remoteHostCount(Domains);
-  const bool HasSeeds =
-      std::any_of(Seeds.begin(), Seeds.end(), [&](const Endpoint &Seed) {
-        return Seed != Members.Self.PeerAddress;
-      });
-  if (Others == 0 && HasSeeds)
+  const auto IsOtherHost = [&](const Endpoint &Seed) {
+    return Seed != Members.Self.PeerAddress;
+  };
+  if (Others == 0 && std::any_of(Seeds.begin(), Seeds.end(), IsOtherHost))
     return UnknownFleetHostCount;
   const std::size_t Known = Others + 1;
   const bool IsNew =
--- a/Services/Gateway/FleetService.h
+++ b/Services/Gateway/FleetService.h
@@ -57,8 +57,6 @@
   void onJoin(const wire::JoinRequest &Message, const PeerReply &Reply);
   void contactSeeds();
   Awaitable<void> join(Endpoint Seed);
-  /// True when a host of the own failure domain listens at this address.
-  bool isPeer(const Endpoint &Remote) const;
   void addIntroducedHost(const HostDescription &Introduced);
 
   const GatewayDependencies &Dependencies;
