--- a/review/1/case.py
+++ b/review/1/case.py
@@ -12,24 +12,26 @@
 ZONES = ["walsall", "lichfield", "redditch"] * 4
 PLAY_S = 100
 # Requests a second of all clients together.
-RATE = 24
+RATE = 40
 LIMIT_S = 2.0
-# Now and then a backend has no room for a moment and turns requests away.
+# Now and then the two backends, which share a machine, have no room for a
+# moment and turn requests away.
 BUSY_EVERY_S = 0.36
 BUSY_S = 0.12
 RETRY_AFTER_S = 0.15
-# Dose of `garble`, how `extra late`: one of the three backends, and this share
-# of its answers. The pages set no bound on how late the second copy comes.
+# Dose of `garble`, how `extra late`: one of the two backends of the service,
+# and this share of its answers. The pages set no bound on how late the second
+# copy comes.
 EXTRA_SHARE = 0.03
 GARBLE_FOR_S = 5.0
-GARBLE_GAP_S = 2.0
+GARBLE_GAP_S = 1.0
 EXTRA_DELAY_S = (0.21, 0.29)
 
 
 def configuration():
     return {"version": "r7", "routes": [
         scene.route("r-book", "/book/", "non_idempotent", "dispatch", 1.0, 0.3,
-                    priority=0, attempts=3),
+                    priority=0, attempts=4),
         scene.route("r-stock", "/stock/", "read_only", "ledger", 1.5, 0.4, 2)],
         "services": [{"name": name, "healthPath": "/health",
                       "maxConnections": 260, "protocol": "h1", "tls": False}
@@ -38,12 +40,14 @@
                    "headerTimeoutS": 3, "idleTimeoutS": 15}}
 
 
-async def keep_busy(backend):
+async def keep_busy(backends):
     while True:
         await asyncio.sleep(BUSY_EVERY_S - BUSY_S)
-        backend.retry_after = RETRY_AFTER_S
+        for backend in backends:
+            backend.retry_after = RETRY_AFTER_S
         await asyncio.sleep(BUSY_S)
-        backend.retry_after = None
+        for backend in backends:
+            backend.retry_after = None
 
 
 async def garble(record, backend):
@@ -62,13 +66,14 @@
 
 
 async def story(stage):
-    desk = stage.backend("i-desk", "dispatch", ZONES[0], 6, 0.11)
+    desks = [stage.backend(f"i-desk{n}", "dispatch", ZONES[n], 6, 0.11)
+             for n in range(2)]
     stock = [stage.backend(f"i-stock{n}", "ledger", ZONES[n], 6, 0.16)
              for n in range(2)]
-    await stage.open(configuration(), [desk] + stock)
+    await stage.open(configuration(), desks + stock)
     if stage.trouble:
-        stage.tasks.append(asyncio.create_task(garble(stage.record, desk)))
-    busy = asyncio.create_task(keep_busy(desk))
+        stage.tasks.append(asyncio.create_task(garble(stage.record, desks[0])))
+    busy = asyncio.create_task(keep_busy(desks))
     clients = [stage.client(n, pooled=n % 2 == 0) for n in range(24)]
     work = []
     for number in range(int(PLAY_S * RATE)):
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -30,10 +30,16 @@
     return f"127.{64 + run // 256 % 128}.{run % 256}.{index}"
 
 
-def free_port(host):
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return probe.getsockname()[1]
+def free_ports(host, count):
+    """Different free ports: they stay bound until all are drawn."""
+    probes = [socket.socket() for _ in range(count)]
+    try:
+        for probe in probes:
+            probe.bind((host, 0))
+        return [probe.getsockname()[1] for probe in probes]
+    finally:
+        for probe in probes:
+            probe.close()
 
 
 def render(template, settings):
@@ -54,8 +60,9 @@
         self.name = f"edge-{zone}-{index}"
         self.zone = zone
         self.ip = loopback(index + 1)
-        self.listen = {key: f"{self.ip}:{free_port(self.ip)}" for key in
-                       ("front", "readyAddress", "control", "directory")}
+        names = ("front", "readyAddress", "control", "directory")
+        self.listen = {name: f"{self.ip}:{port}" for name, port in
+                       zip(names, free_ports(self.ip, len(names)))}
         self.process = None
         self.exits = []
         self.peak_kb = 0
