--- a/review/standins/scene.py
+++ b/review/standins/scene.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import shutil
+import signal
 import sys
 import tempfile
 import time
@@ -173,6 +174,8 @@
         finally:
             await scene.close()
 
+    # All processes are ended also when the script itself is.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_COULD_NOT_RUN))
     try:
         broken = asyncio.run(whole())
     except (RuntimeError, OSError, TimeoutError) as cause:
