Tests/Gateway: Check single crashes, unreadable names and ejections

Three checks that were left in the working tree by the sitting before: a crash that has happened once reaches the hosts of other domains, a watch whose events have unreadable names is not taken for a deaf one, and a misdirected probe ejects the former owner of the address only.

--- a/Tests/Gateway/TestCrashExchange.cpp
+++ b/Tests/Gateway/TestCrashExchange.cpp
@@ -99,6 +99,22 @@
   EXPECT_TRUE(runUntil([&] { return !Last.isQuarantined(); }));
 }
 
+// Guards against news that waits for a summary, which holds no request with a
+// single crash: each host would count the first crashes alone.
+TEST_F(CrashExchangeTest, SingleCrashReachesHostsOfOtherDomains) {
+  CrashHost First(Loop, TimeSource, "west");
+  CrashHost Neighbour(Loop, TimeSource, "west");
+  CrashHost Delegate(Loop, TimeSource, "east");
+  CrashHost Last(Loop, TimeSource, "east");
+  First.addPeer(Neighbour, TimeSource.now());
+  Neighbour.addRemote(Delegate, TimeSource.now());
+  Delegate.addPeer(Last, TimeSource.now());
+  CrashReports Single = crashes();
+  Single.Crashes.resize(1);
+  First.Quarantine->apply(Single, ReportSource::ThisHost);
+  EXPECT_TRUE(runUntil([&] { return Last.Quarantine->hasEvidence(); }));
+}
+
 // Guards against a host that has started after the crashes and passes the
 // request on.
 TEST_F(CrashExchangeTest, HostThatStartsLaterIsTold) {
--- a/Tests/Gateway/TestRequestExecution.cpp
+++ b/Tests/Gateway/TestRequestExecution.cpp
@@ -375,6 +375,8 @@
   EXPECT_EQ(Other.Runs, 20);
   EXPECT_GT(NewOwner.Misdirected, 0);
   EXPECT_LT(NewOwner.Misdirected, 10);
+  EXPECT_TRUE(CurrentState.targetStats(TargetId("i-1")).Outlier.Ejected);
+  EXPECT_FALSE(CurrentState.targetStats(TargetId("i-2")).Outlier.Ejected);
 }
 
 // Guards against probes and requests to a target that has changed its service
--- a/Tests/Gateway/TestStoreWatcher.cpp
+++ b/Tests/Gateway/TestStoreWatcher.cpp
@@ -182,6 +182,25 @@
   EXPECT_GT(Client->calls(), Calls);
 }
 
+// Guards against a watch that is taken for a deaf one, and listed again for
+// ever, because the names in some of its events cannot be read.
+TEST_F(StoreWatcherTest, EventsWithUnreadableNamesCountAsDelivered) {
+  Store.put("servers", "a", registration("ready"));
+  ASSERT_TRUE(watchesWait());
+  // The first check is the base with which later ones are compared.
+  runUntil([] { return false; }, 800ms);
+  // The stand-in writes the text in place of the first occurrence of its mark,
+  // which is the name here.
+  for (int Count = 0; Count < 6; ++Count)
+    Store.putText("servers", "text " + std::to_string(Count),
+                  R"("\udcff)" + std::to_string(Count) + "\"");
+  runUntil([] { return false; }, 3s);
+  EXPECT_EQ(ProcessMetrics.counter("store_entries_skipped_total"), 6U);
+  EXPECT_EQ(ProcessMetrics.counter("store_watches_behind_total"), 0U);
+  Store.put("servers", "a", registration("draining"));
+  EXPECT_TRUE(runUntil([this] { return isDraining("a"); }, 2s));
+}
+
 // Guards against a host that keeps the watcher role although the store no
 // longer answers it.
 TEST_F(StoreWatcherTest, SilentStoreIsNoticedWhileAWatchWaits) {
