Gateway: Take the metrics address from the settings

What callers saw: no request was served where the port for callers was 9464, and none by a host on which another program had that port.

Cause: listen() bound port 9464 of the caller address for metrics, whatever the settings said, and failed the start without it. Ruled out: the other four listeners take their addresses from the settings; the log writes no file; no other port, file or variable is read at the start (table in docs/settings.md).

Change: metrics_address is an optional setting. MetricsListener binds the address after all others, logs a taken one and tries again every 5 s; a reload replaces it.

--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -1,5 +1,6 @@
 #include "Gateway.h"
 
+#include "MetricsListener.h"
 #include "RequestExecution.h"
 
 #include <LibMembership/StoreRole.h>
@@ -31,7 +32,7 @@
 // the exit of the process.
 constexpr double DrainShare = 0.95;
 constexpr std::uint32_t SmallListenerConnections = 512;
-constexpr std::uint16_t MetricsPort = 9464;
+constexpr Duration MetricsRetryInterval = std::chrono::seconds(5);
 
 HostDescription describeSelf(const GatewaySettings &Configured,
                              Random &Generator) {
@@ -184,12 +185,6 @@
       [this](HttpRequest Request, std::shared_ptr<Disconnect>)
           -> Awaitable<HttpResponse> { co_return handleDirectory(Request); },
       SmallListenerLimits));
-  TRY(Serve(
-      "metrics_listener",
-      Endpoint{Configured.CallerAddress.Address, MetricsPort},
-      [this](HttpRequest, std::shared_ptr<Disconnect>)
-          -> Awaitable<HttpResponse> { co_return handleMetrics(); },
-      SmallListenerLimits));
   const auto Peers = std::make_shared<PeerServer>(
       Context, TimeSource, PeerServerLimits{},
       [Fleet = Fleet.get()](const wire::PeerBody &Body,
@@ -203,7 +198,13 @@
       .field("failure_domain", Configured.Domain.Value)
       .field("caller_address", formatEndpoint(Configured.CallerAddress));
   Dependencies->Events.writeAlways(LogLevel::Info, Line);
-  return outcome::success();
+  const auto MetricsServer = std::make_shared<MetricsListener>(
+      *Dependencies,
+      [this](HttpRequest, std::shared_ptr<Disconnect>)
+          -> Awaitable<HttpResponse> { co_return handleMetrics(); },
+      replyToMalformedRequest, SmallListenerLimits, MetricsRetryInterval);
+  MetricsServer->setAddress(Configured.MetricsAddress);
+  return Registry.add("metrics_listener", MetricsServer);
 }
 
 Awaitable<HttpResponse>
@@ -369,6 +370,9 @@
   Dependencies->RetryPolicy = Changed.RetryPolicy;
   Dependencies->ProbesPerTargetPerSecond = Changed.ProbesPerTargetPerSecond;
   Dependencies->CurrentState.setPausePolicy(Changed.TargetPauses);
+  Registry.find<MetricsListener>("metrics_listener")
+      .value()
+      ->setAddress(Changed.MetricsAddress);
   LogLine Line("reload");
   Line.field("retry_slack_thousandths",
              static_cast<std::uint64_t>(Changed.RetryPolicy.Slack * 1000));
--- a/Services/Gateway/GatewayMain.cpp
+++ b/Services/Gateway/GatewayMain.cpp
@@ -19,7 +19,12 @@
 
 using SignalSet = asio::basic_signal_set<Executor>;
 
-Result<GatewaySettings> readSettingsFile(const std::string &Path) {
+std::string environmentVariable(const char *Name) {
+  const char *Value = std::getenv(Name);
+  return Value == nullptr ? "" : Value;
+}
+
+Result<GatewaySettings> readSettings(const std::string &Path) {
   std::ifstream File(Path, std::ios::binary);
   if (!File)
     return Error{ErrorKind::NotFound,
@@ -27,7 +32,14 @@
                      "'; name a file that exists and may be read"};
   std::ostringstream Text;
   Text << File.rdbuf();
-  return parseGatewaySettings(Text.str());
+  TRY(auto Configured, parseGatewaySettings(Text.str()));
+  // What is missing without these variables does not keep a host from serving.
+  const auto Completed = applyEnvironment(
+      Configured, {environmentVariable(platform::MetricsAddressVariable)});
+  if (!Completed)
+    std::cerr << "comfreyrilld: environment variable ignored: "
+              << Completed.error().Message << '\n';
+  return Configured;
 }
 
 Awaitable<void> awaitStop(SignalSet &Signals, Gateway &Process) {
@@ -43,7 +55,7 @@
     const auto [Code, Signal] = co_await Signals.async_wait(UseTuple);
     if (Code)
       co_return;
-    const auto Changed = readSettingsFile(Path);
+    const auto Changed = readSettings(Path);
     if (Changed)
       Process.reload(Changed.value());
     else
@@ -57,8 +69,7 @@
 
 int runGateway(std::string SettingsPath, bool IsCheckOnly) {
   if (SettingsPath.empty())
-    if (const char *Named = std::getenv(platform::SettingsVariable))
-      SettingsPath = Named;
+    SettingsPath = environmentVariable(platform::SettingsVariable);
   asio::io_context Loop(1);
   SignalSet StopSignals(Loop.get_executor());
   SignalSet ReloadSignals(Loop.get_executor());
@@ -69,7 +80,7 @@
     StopSignals.add(SIGINT);
     ReloadSignals.add(SIGHUP);
   }
-  const auto Configured = readSettingsFile(SettingsPath);
+  const auto Configured = readSettings(SettingsPath);
   if (!Configured) {
     std::cerr << "comfreyrilld: " << Configured.error().Message << '\n';
     return ExitInvalidSettings;
--- a/Services/Gateway/GatewaySettings.cpp
+++ b/Services/Gateway/GatewaySettings.cpp
@@ -28,6 +28,9 @@
   Root.required("readiness_address").endpoint(Out.ReadinessAddress, 0);
   Root.required("directory_address").endpoint(Out.DirectoryAddress, 0);
   Root.required("peer_address").endpoint(Out.PeerAddress, 0);
+  JsonReader Metrics = Root.optional("metrics_address");
+  if (Metrics.isPresent())
+    Metrics.endpoint(Out.MetricsAddress.emplace(), 0);
   Root.optional("is_first_start").boolean(Out.IsFirstStart);
   Root.optional("seeds").array(0, SeedsMaximum, [&](JsonReader Element) {
     Endpoint Value;
@@ -54,4 +57,12 @@
   return Out;
 }
 
+Result<void> applyEnvironment(GatewaySettings &Configured,
+                              const GatewayEnvironment &Environment) {
+  if (!Configured.MetricsAddress && !Environment.MetricsAddress.empty()) {
+    TRY(Configured.MetricsAddress, parseEndpoint(Environment.MetricsAddress));
+  }
+  return outcome::success();
+}
+
 } // namespace comfreyrill
--- a/Services/Gateway/GatewaySettings.h
+++ b/Services/Gateway/GatewaySettings.h
@@ -7,6 +7,7 @@
 #include <LibLog/Log.h>
 #include <LibRouting/TargetPause.h>
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -26,6 +27,8 @@
   /// use.
   Endpoint DirectoryAddress;
   Endpoint PeerAddress;
+  /// Listener for metrics; without it, none are served.
+  std::optional<Endpoint> MetricsAddress;
   std::vector<Endpoint> Seeds;
   /// True in the first start of a fleet, well before there are callers.
   bool IsFirstStart = false;
@@ -42,8 +45,19 @@
   LogLevel Level = LogLevel::Info;
 };
 
+/// Settings that the platform passes as environment variables; empty when not
+/// set.
+struct GatewayEnvironment {
+  std::string MetricsAddress;
+};
+
 /// Parses and validates settings. Fails with InvalidInput; the message lists
 /// every error with its path, what was found and what is allowed.
 Result<GatewaySettings> parseGatewaySettings(std::string_view Text);
 
+/// Completes the settings that the file has left out. Fails with InvalidInput
+/// when a value cannot be used, and leaves that setting as it is.
+Result<void> applyEnvironment(GatewaySettings &Configured,
+                              const GatewayEnvironment &Environment);
+
 } // namespace comfreyrill
--- a/Tests/Gateway/TestGatewaySettings.cpp
+++ b/Tests/Gateway/TestGatewaySettings.cpp
@@ -39,6 +39,28 @@
       parseGatewaySettings(Fields + R"(,"target_pause_maximum_s":-1})"));
 }
 
+// Guards against a metrics address of the environment that replaces the one of
+// the file, or that keeps a host from serving when it cannot be used.
+TEST(GatewaySettings, EnvironmentCompletesTheFile) {
+  auto Read = parseGatewaySettings(Valid);
+  ASSERT_TRUE(Read) << Read.error().Message;
+  EXPECT_EQ(Read.value().MetricsAddress, std::nullopt);
+  EXPECT_FALSE(applyEnvironment(Read.value(), {"10.1.0.10:"}));
+  EXPECT_EQ(Read.value().MetricsAddress, std::nullopt);
+  EXPECT_TRUE(applyEnvironment(Read.value(), {}));
+  EXPECT_EQ(Read.value().MetricsAddress, std::nullopt);
+  EXPECT_TRUE(applyEnvironment(Read.value(), {"10.1.0.10:7720"}));
+  EXPECT_EQ(Read.value().MetricsAddress, (Endpoint{"10.1.0.10", 7720}));
+
+  const std::string Fields(Valid.substr(0, Valid.size() - 1));
+  auto Named =
+      parseGatewaySettings(Fields + R"(,"metrics_address":"10.1.0.10:9090"})");
+  ASSERT_TRUE(Named) << Named.error().Message;
+  EXPECT_TRUE(applyEnvironment(Named.value(), {"10.1.0.10:7720"}));
+  EXPECT_EQ(Named.value().MetricsAddress, (Endpoint{"10.1.0.10", 9090}));
+  EXPECT_FALSE(parseGatewaySettings(Fields + R"(,"metrics_address":9090})"));
+}
+
 // Guards against reporting only the first error, which would make an operator
 // correct them one by one.
 TEST(GatewaySettings, AllErrorsAreReportedAtOnce) {
