LibHttp: Bound the memory of all messages together

What callers saw: three of nine targets that send bodies without end at 6 MB/s made every host of 260 MB exceed its memory; the host was killed, and requests of other callers ended with it.

Cause: each answer was limited to 8 MB, their sum was not, and a slow body holds its memory until the deadline. Request bodies (64 MB each, one copy more for each attempt) had the same gap. Ruled out: endless heads, chunk extensions, trailers and interim answers, which are small, and bodies at full speed, which reach their limit at once.

Change: MessageMemory accounts for all requests and answers that a gateway receives or holds. Half of the memory limit, which is a setting (or a variable of the deploy file), is theirs. Memory is taken before reading on. The largest answer that is still arriving gives way to others; a request without enough memory is answered 503 before its body is read, and the rest of it is read for a second so that the answer is not lost in a reset. Attempts borrow the body instead of copying it. Buffers of idle connections shrink; freed blocks above 256 KB return to the system.

--- a/Libraries/LibHttp/ConnectionPool.cpp
+++ b/Libraries/LibHttp/ConnectionPool.cpp
@@ -3,8 +3,9 @@
 namespace comfreyrill {
 
 ConnectionPool::ConnectionPool(const Executor &Context, const Clock &TimeSource,
-                               Duration IdleTime)
-    : Context(Context), TimeSource(TimeSource), IdleTime(IdleTime) {}
+                               Duration IdleTime, MessageMemory *Memory)
+    : Context(Context), TimeSource(TimeSource), IdleTime(IdleTime),
+      Memory(Memory) {}
 
 Awaitable<Result<std::shared_ptr<HttpConnection>>>
 ConnectionPool::acquire(Endpoint Remote, TimePoint Deadline,
@@ -37,7 +38,7 @@
 
 Awaitable<Result<std::shared_ptr<HttpConnection>>>
 ConnectionPool::connect(Endpoint Remote, TimePoint Deadline) {
-  auto Connection = std::make_shared<HttpConnection>(Context);
+  auto Connection = std::make_shared<HttpConnection>(Context, Memory);
   CO_TRY(co_await Connection->connect(std::move(Remote), Deadline));
   co_return Connection;
 }
--- a/Libraries/LibHttp/ConnectionPool.h
+++ b/Libraries/LibHttp/ConnectionPool.h
@@ -12,9 +12,10 @@
 public:
   /// closeExpired() closes connections that have been idle for longer than
   /// IdleTime. IdleTime should be shorter than the idle timeout of the remote
-  /// servers, so that these do not close a connection first.
+  /// servers, so that these do not close a connection first. The memory, if
+  /// there is one, bounds the responses of all connections.
   ConnectionPool(const Executor &Context, const Clock &TimeSource,
-                 Duration IdleTime);
+                 Duration IdleTime, MessageMemory *Memory = nullptr);
 
   /// Returns an idle connection, or a new one established before the deadline.
   /// With a request, it is a connection that has not carried this request.
@@ -48,6 +49,7 @@
   Executor Context;
   const Clock &TimeSource;
   Duration IdleTime;
+  MessageMemory *Memory;
   std::unordered_map<Endpoint, std::vector<IdleEntry>> Idle;
 };
 
--- a/Libraries/LibHttp/Http.h
+++ b/Libraries/LibHttp/Http.h
@@ -17,6 +17,8 @@
 /// Size of the read buffer of a connection. Parsers keep unfinished headers,
 /// chunk extensions and trailers in it, which a peer may send without end.
 inline constexpr std::size_t ReadBufferBytes = std::size_t{128} * 1024;
+/// Capacity that the read buffer of an idle connection may keep.
+inline constexpr std::size_t IdleBufferBytes = std::size_t{8} * 1024;
 
 /// Relation of a response to the request that was sent last.
 enum class ResponseMatch {
--- a/Libraries/LibHttp/HttpConnection.cpp
+++ b/Libraries/LibHttp/HttpConnection.cpp
@@ -49,8 +49,8 @@
 
 } // namespace
 
-HttpConnection::HttpConnection(const Executor &Context)
-    : Socket(Context), DeadlineTimer(Context) {}
+HttpConnection::HttpConnection(const Executor &Context, MessageMemory *Memory)
+    : Socket(Context), Memory(Memory), DeadlineTimer(Context) {}
 
 Awaitable<Result<void>> HttpConnection::connect(Endpoint Remote,
                                                 TimePoint Deadline) {
@@ -135,8 +135,7 @@
   Parser.body_limit(Limits.BodyBytes);
   if (Request.method() == http::verb::head)
     Parser.skip(true);
-  const auto [ReadError, ReadBytes] =
-      co_await http::async_read(Socket, Buffer, Parser, UseTuple);
+  const auto ReadError = co_await readWhole(Parser);
   if (ReadError) {
     ExchangeFailure Failure{failureCause(ReadError, "read the response"),
                             WriteProgress::MayHaveBeenRead,
@@ -162,9 +161,33 @@
   KeepAlive = Parser.keep_alive() && Buffer.size() == 0 && !Cancelled;
   if (!KeepAlive && Buffer.size() == 0)
     close();
+  if (Buffer.size() == 0 && Buffer.capacity() > IdleBufferBytes)
+    Buffer.shrink_to_fit();
   co_return Parser.release();
 }
 
+// Takes memory before it reads on. The connection is closed when another
+// response needs the memory more.
+Awaitable<boost::system::error_code>
+HttpConnection::readWhole(http::response_parser<http::string_body> &Parser) {
+  MessageShare Share(Memory, MessageKind::Response, [this] {
+    IsMemoryShort = true;
+    close();
+  });
+  Parser.eager(true);
+  while (!Parser.is_done()) {
+    if (!Share.resize(Parser.get().body().size() + Buffer.capacity())) {
+      IsMemoryShort = true;
+      co_return make_error_code(http::error::body_limit);
+    }
+    const auto [ReadError, ReadBytes] =
+        co_await http::async_read_some(Socket, Buffer, Parser, UseTuple);
+    if (ReadError)
+      co_return ReadError;
+  }
+  co_return boost::system::error_code{};
+}
+
 // A peer that lost power, or is behind a network partition, sends no packets at
 // all. TCP keep-alive probes detect this on connections that wait for a
 // response.
@@ -215,6 +238,7 @@
   ActiveDeadline = Deadline;
   TimedOut = false;
   Cancelled = false;
+  IsMemoryShort = false;
   if (Deadline < TimerExpiry)
     armTimer(Deadline);
 }
@@ -255,6 +279,10 @@
   if (TimedOut)
     return {ErrorKind::TimedOut,
             Prefix + "the deadline has passed; allow more time or try later"};
+  if (IsMemoryShort)
+    return {ErrorKind::TooLarge,
+            Prefix + "the messages of all connections exceed the memory of "
+                     "the process; give it more, or send less"};
   if (Cancelled)
     return {ErrorKind::ConnectionLost, Prefix + "the exchange was cancelled"};
   if (Code == http::error::body_limit || Code == http::error::header_limit ||
--- a/Libraries/LibHttp/HttpConnection.h
+++ b/Libraries/LibHttp/HttpConnection.h
@@ -3,6 +3,7 @@
 #include <LibCore/Endpoint.h>
 #include <LibCore/Result.h>
 #include <LibHttp/Http.h>
+#include <LibHttp/MessageMemory.h>
 
 #include <functional>
 #include <memory>
@@ -37,7 +38,10 @@
 /// connection.
 class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
 public:
-  explicit HttpConnection(const Executor &Context);
+  /// Without a MessageMemory, only the limits of each exchange bound the memory
+  /// of its response.
+  explicit HttpConnection(const Executor &Context,
+                          MessageMemory *Memory = nullptr);
 
   /// Connects, and fails with TimedOut when the deadline passes.
   Awaitable<Result<void>> connect(Endpoint Remote, TimePoint Deadline);
@@ -71,6 +75,8 @@
 private:
   Awaitable<ExchangeResult<HttpResponse>>
   readResponse(const HttpRequest &Request, const HttpLimits &Limits);
+  Awaitable<boost::system::error_code>
+  readWhole(http::response_parser<http::string_body> &Parser);
   void enableTcpKeepAlive();
   void setDeadline(TimePoint Deadline);
   void armTimer(TimePoint Expiry);
@@ -80,6 +86,7 @@
                      std::string_view Step) const;
 
   TcpSocket Socket;
+  MessageMemory *Memory;
   Timer DeadlineTimer;
   std::vector<RequestDigest> Carried;
   beast::flat_buffer Buffer{ReadBufferBytes};
@@ -87,6 +94,8 @@
   TimePoint TimerExpiry = TimePoint::max();
   bool TimedOut = false;
   bool Cancelled = false;
+  /// The memory of the process did not suffice for the response.
+  bool IsMemoryShort = false;
   bool KeepAlive = false;
 };
 
--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -13,10 +13,14 @@
 // connections. A timer for each read would cost two timer operations per
 // request.
 constexpr Duration SweepInterval = std::chrono::seconds(1);
+// Time for which the rest of a rejected request is read and discarded. Closing
+// the connection before would reset it, and the caller might lose the response.
+constexpr Duration DiscardTime = std::chrono::seconds(1);
+constexpr std::size_t DiscardBufferBytes = std::size_t{4} * 1024;
 
 } // namespace
 
-enum class SessionPhase { Idle, Reading, Handling, Writing };
+enum class SessionPhase { Idle, Reading, Handling, Writing, Discarding };
 
 struct HttpServer::Session : std::enable_shared_from_this<Session> {
   explicit Session(TcpSocket Accepted) : Socket(std::move(Accepted)) {}
@@ -53,6 +57,8 @@
   std::optional<http::request_parser<http::string_body>> Parser;
   SessionPhase Phase = SessionPhase::Idle;
   TimePoint PhaseSince;
+  /// The caller may still be sending a request that was rejected.
+  bool HasUnreadRequest = false;
 };
 
 void Disconnect::onOccurrence(std::function<void()> NewCallback) {
@@ -69,11 +75,12 @@
 
 HttpServer::HttpServer(const Executor &Context, const Clock &TimeSource,
                        HttpLimits Limits, Handler HandleRequest,
-                       ErrorResponseFactory MakeErrorResponse)
+                       ErrorResponseFactory MakeErrorResponse,
+                       MessageMemory *Memory)
     : Context(Context), TimeSource(TimeSource), Limits(Limits),
       HandleRequest(std::move(HandleRequest)),
-      MakeErrorResponse(std::move(MakeErrorResponse)), Acceptor(Context),
-      SweepTimer(Context) {}
+      MakeErrorResponse(std::move(MakeErrorResponse)), Memory(Memory),
+      Acceptor(Context), SweepTimer(Context) {}
 
 Result<void> HttpServer::listen(const Endpoint &Requested) {
   TRY(Local, listenOn(Acceptor, Requested));
@@ -165,17 +172,74 @@
   }
   boost::system::error_code Ignored;
   ActiveSession->Socket.shutdown(TcpSocket::shutdown_send, Ignored);
+  if (ActiveSession->HasUnreadRequest)
+    co_await discardInput(*ActiveSession);
   ActiveSession->close();
   Sessions.erase(ActiveSession);
 }
 
+// The sweep closes the socket when the time is over.
+Awaitable<void> HttpServer::discardInput(Session &ActiveSession) {
+  ActiveSession.Parser.reset();
+  ActiveSession.enter(SessionPhase::Discarding, TimeSource.now());
+  std::vector<char> Discarded(DiscardBufferBytes);
+  while (ActiveSession.Socket.is_open()) {
+    const auto [Code, Count] = co_await ActiveSession.Socket.async_read_some(
+        asio::buffer(Discarded), UseTuple);
+    if (Code)
+      co_return;
+  }
+}
+
+// A request of known length takes all its memory before its body is read, so
+// that one without enough is answered at once.
+Awaitable<boost::system::error_code>
+HttpServer::readRequest(Session &ActiveSession, MessageShare &Share) {
+  auto &Parser = *ActiveSession.Parser;
+  Parser.eager(true);
+  std::uint64_t ExpectedBytes = 0;
+  while (!Parser.is_done()) {
+    if (Parser.is_header_done())
+      ExpectedBytes = Parser.content_length().value_or(0);
+    const std::uint64_t HeldBytes =
+        std::max<std::uint64_t>(ExpectedBytes, Parser.get().body().size());
+    if (!Share.resize(HeldBytes + ActiveSession.Buffer.capacity()))
+      co_return make_error_code(boost::system::errc::not_enough_memory);
+    const auto [ReadError, ReadBytes] = co_await http::async_read_some(
+        ActiveSession.Socket, ActiveSession.Buffer, Parser, UseTuple);
+    if (ReadError)
+      co_return ReadError;
+  }
+  co_return boost::system::error_code{};
+}
+
+HttpResponse HttpServer::respondToReadError(
+    const boost::system::error_code &ReadError) const {
+  if (ReadError == boost::system::errc::not_enough_memory)
+    return MakeErrorResponse(
+        http::status::service_unavailable,
+        Error{ErrorKind::Unavailable,
+              "the host has no memory left for this request, which has not "
+              "run; send it again later or to another host"});
+  const bool IsTooLarge = ReadError == http::error::body_limit ||
+                          ReadError == http::error::header_limit ||
+                          ReadError == http::error::buffer_overflow;
+  return MakeErrorResponse(
+      IsTooLarge ? http::status::payload_too_large : http::status::bad_request,
+      Error{IsTooLarge ? ErrorKind::TooLarge : ErrorKind::InvalidInput,
+            IsTooLarge ? "the request exceeds the size limit; send a smaller "
+                         "header or body"
+                       : "the request is not valid HTTP/1.1 (" +
+                             ReadError.message() + "); correct it"});
+}
+
 Awaitable<bool> HttpServer::serveRequest(Session &ActiveSession) {
   ActiveSession.enter(SessionPhase::Idle, TimeSource.now());
   auto &Parser = ActiveSession.Parser.emplace();
   Parser.header_limit(Limits.HeaderBytes);
   Parser.body_limit(Limits.BodyBytes);
-  const auto [ReadError, ReadBytes] = co_await http::async_read(
-      ActiveSession.Socket, ActiveSession.Buffer, Parser, UseTuple);
+  MessageShare RequestShare(Memory, MessageKind::Request);
+  const auto ReadError = co_await readRequest(ActiveSession, RequestShare);
   if (ReadError == http::error::end_of_stream ||
       !ActiveSession.Socket.is_open())
     co_return false;
@@ -183,20 +247,12 @@
   HttpResponse Response;
   bool KeepAlive = false;
   if (ReadError) {
-    if (ReadError.category() !=
-        make_error_code(http::error::end_of_stream).category())
+    if (ReadError != boost::system::errc::not_enough_memory &&
+        ReadError.category() !=
+            make_error_code(http::error::end_of_stream).category())
       co_return false;
-    const bool IsTooLarge = ReadError == http::error::body_limit ||
-                            ReadError == http::error::header_limit ||
-                            ReadError == http::error::buffer_overflow;
-    Response = MakeErrorResponse(
-        IsTooLarge ? http::status::payload_too_large
-                   : http::status::bad_request,
-        Error{IsTooLarge ? ErrorKind::TooLarge : ErrorKind::InvalidInput,
-              IsTooLarge ? "the request exceeds the size limit; send a smaller "
-                           "header or body"
-                         : "the request is not valid HTTP/1.1 (" +
-                               ReadError.message() + "); correct it"});
+    Response = respondToReadError(ReadError);
+    ActiveSession.HasUnreadRequest = true;
   } else {
     KeepAlive = Parser.keep_alive();
     ActiveSession.enter(SessionPhase::Handling, TimeSource.now());
@@ -204,6 +260,8 @@
     const auto CallerLeft =
         std::make_shared<Disconnect>(ActiveSession.CallerAddress);
     watchDisconnect(ActiveSession.shared_from_this(), CallerLeft);
+    RequestShare.hold(Parser.get().body().size() +
+                      ActiveSession.Buffer.capacity());
     Response = co_await HandleRequest(Parser.release(), CallerLeft);
     CallerLeft->onOccurrence(nullptr);
     --ActiveRequests;
@@ -216,8 +274,14 @@
   ActiveSession.enter(SessionPhase::Writing, TimeSource.now());
   KeepAlive = KeepAlive && !IsStopping && !IsClosingAfterResponse;
   Response.keep_alive(KeepAlive);
+  RequestShare.hold(0);
+  MessageShare ResponseShare(Memory, MessageKind::Response);
+  ResponseShare.hold(Response.body().size());
   const auto [WriteError, WrittenBytes] =
       co_await http::async_write(ActiveSession.Socket, Response, UseTuple);
+  if (ActiveSession.Buffer.size() == 0 &&
+      ActiveSession.Buffer.capacity() > IdleBufferBytes)
+    ActiveSession.Buffer.shrink_to_fit();
   co_return !WriteError && KeepAlive;
 }
 
@@ -260,7 +324,9 @@
                           Age > Limits.MessageTime;
       const bool IsIdle =
           ActiveSession->Phase == SessionPhase::Idle && Age > Limits.IdleTime;
-      if (IsSlow || IsIdle)
+      const bool IsDiscarded =
+          ActiveSession->Phase == SessionPhase::Discarding && Age > DiscardTime;
+      if (IsSlow || IsIdle || IsDiscarded)
         ActiveSession->close();
     }
   }
--- a/Libraries/LibHttp/HttpServer.h
+++ b/Libraries/LibHttp/HttpServer.h
@@ -3,6 +3,7 @@
 #include <LibCore/Endpoint.h>
 #include <LibCore/Result.h>
 #include <LibHttp/Http.h>
+#include <LibHttp/MessageMemory.h>
 
 #include <functional>
 #include <memory>
@@ -42,9 +43,12 @@
   using ErrorResponseFactory =
       std::function<HttpResponse(http::status Status, const Error &Cause)>;
 
+  /// The memory, if there is one, bounds the requests of all connections; a
+  /// request that finds too little of it is answered 503.
   HttpServer(const Executor &Context, const Clock &TimeSource,
              HttpLimits Limits, Handler HandleRequest,
-             ErrorResponseFactory MakeErrorResponse);
+             ErrorResponseFactory MakeErrorResponse,
+             MessageMemory *Memory = nullptr);
 
   /// Binds the socket and starts to accept connections. Port 0 lets the
   /// operating system choose a free port.
@@ -81,6 +85,11 @@
   void startSession(TcpSocket Accepted, const asio::ip::tcp::endpoint &Caller);
   Awaitable<void> serve(std::shared_ptr<Session> ActiveSession);
   Awaitable<bool> serveRequest(Session &ActiveSession);
+  Awaitable<boost::system::error_code> readRequest(Session &ActiveSession,
+                                                   MessageShare &Share);
+  HttpResponse
+  respondToReadError(const boost::system::error_code &ReadError) const;
+  Awaitable<void> discardInput(Session &ActiveSession);
   Awaitable<void> sweep();
   static void watchDisconnect(const std::shared_ptr<Session> &ActiveSession,
                               const std::shared_ptr<Disconnect> &CallerLeft);
@@ -90,6 +99,7 @@
   HttpLimits Limits;
   Handler HandleRequest;
   ErrorResponseFactory MakeErrorResponse;
+  MessageMemory *Memory;
   TcpAcceptor Acceptor;
   Timer SweepTimer;
   Endpoint Local;
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -32,6 +32,9 @@
 // the exit of the process.
 constexpr double DrainShare = 0.95;
 constexpr std::uint32_t SmallListenerConnections = 512;
+constexpr std::uint64_t DefaultMemoryLimitBytes = 256'000'000;
+// Memory is short until large messages have been sent or have failed.
+constexpr Duration RetryWithoutMemory = std::chrono::seconds(1);
 constexpr Duration MetricsRetryInterval = std::chrono::seconds(5);
 
 HostDescription describeSelf(const GatewaySettings &Configured,
@@ -49,7 +52,10 @@
 }
 
 HttpResponse replyToMalformedRequest(http::status Status, const Error &Cause) {
-  return platform::encodeLocalReply(Status, {}, Cause.Message, std::nullopt);
+  const bool IsTemporary = Status == http::status::service_unavailable;
+  return platform::encodeLocalReply(
+      Status, {}, Cause.Message,
+      IsTemporary ? std::optional(RetryWithoutMemory) : std::nullopt);
 }
 
 HttpResponse notFound() {
@@ -92,8 +98,10 @@
   CurrentState->setPausePolicy(Configured.TargetPauses);
   const auto ProcessMetrics = std::make_shared<GatewayMetrics>();
   const auto ProbeTokens = std::make_shared<ProbeTokenBucket>();
-  const auto TargetConnections =
-      std::make_shared<ConnectionPool>(Context, TimeSource, PoolIdleTime);
+  const auto Messages = std::make_shared<MessageMemory>(messageMemoryLimits(
+      Configured.MemoryLimit.value_or(DefaultMemoryLimitBytes)));
+  const auto TargetConnections = std::make_shared<ConnectionPool>(
+      Context, TimeSource, PoolIdleTime, Messages.get());
   const auto Members = std::make_shared<MemberTable>(
       makeMemberTable(describeSelf(Configured, *Generator), {},
                       MembershipSettings{}, TimeSource.now()));
@@ -103,12 +111,13 @@
   TRY(Registry.add("knowledge", CurrentState));
   TRY(Registry.add("metrics", ProcessMetrics));
   TRY(Registry.add("probe_allowance", ProbeTokens));
+  TRY(Registry.add("message_memory", Messages));
   TRY(Registry.add("target_connections", TargetConnections));
   TRY(Registry.add("members", Members));
   Dependencies.emplace(GatewayDependencies{
       Context, TimeSource, *Generator, *TargetConnections, *CurrentState,
       *Events, *ProcessMetrics, Configured.Domain, Configured.RetryPolicy,
-      *ProbeTokens, Configured.ProbesPerTargetPerSecond, nullptr});
+      *ProbeTokens, Configured.ProbesPerTargetPerSecond, *Messages, nullptr});
   return outcome::success();
 }
 
@@ -163,9 +172,9 @@
   const auto Serve = [&](std::string_view Name, const Endpoint &Address,
                          HttpServer::Handler Handle,
                          const HttpLimits &Limits) -> Result<void> {
-    const auto Server = std::make_shared<HttpServer>(Context, TimeSource,
-                                                     Limits, std::move(Handle),
-                                                     replyToMalformedRequest);
+    const auto Server = std::make_shared<HttpServer>(
+        Context, TimeSource, Limits, std::move(Handle), replyToMalformedRequest,
+        &Dependencies->Messages);
     TRY(Server->listen(Address));
     return Registry.add(std::string(Name), Server);
   };
@@ -256,6 +265,13 @@
   ProcessMetrics.counter("targets_leaving_total") = Signalled.Leaving;
   ProcessMetrics.counter("targets_paused_total") = Signalled.Paused;
   ProcessMetrics.counter("targets_resumed_total") = Signalled.Resumed;
+  const MessageMemory &Messages = Dependencies->Messages;
+  ProcessMetrics.setGauge("message_bytes",
+                          static_cast<double>(Messages.usedBytes()));
+  ProcessMetrics.counter("answers_dropped_for_memory_total") =
+      Messages.droppedResponses();
+  ProcessMetrics.counter("messages_without_memory_total") =
+      Messages.deniedMessages();
   ProcessMetrics.counter("store_calls_total") =
       Registry.find<platform::StoreClient>("store_client").value()->calls();
   HttpResponse Response(http::status::ok, 11);
--- a/Services/Gateway/GatewayDependencies.h
+++ b/Services/Gateway/GatewayDependencies.h
@@ -27,6 +27,8 @@
   RetryBudgetPolicy RetryPolicy;
   ProbeTokenBucket &ProbeTokens;
   double ProbesPerTargetPerSecond = 0;
+  /// Memory of the requests and answers that this process holds.
+  MessageMemory &Messages;
   /// Returns the number of hosts that share the budgets of the fleet.
   std::function<std::size_t()> BudgetHostCount;
 };
--- a/Services/Gateway/GatewayMain.cpp
+++ b/Services/Gateway/GatewayMain.cpp
@@ -8,6 +8,7 @@
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
+#include <malloc.h>
 #include <sstream>
 
 namespace comfreyrill {
@@ -16,6 +17,10 @@
 
 constexpr int ExitInvalidSettings = 2;
 constexpr int ExitUnavailable = 4;
+// Larger blocks are returned to the system when they are freed. Without a fixed
+// threshold, glibc raises it to the size of the blocks that are freed, and the
+// memory of large messages stays with the process.
+constexpr int DirectAllocationBytes = 256 * 1024;
 
 using SignalSet = asio::basic_signal_set<Executor>;
 
@@ -35,7 +40,8 @@
   TRY(auto Configured, parseGatewaySettings(Text.str()));
   // What is missing without these variables does not keep a host from serving.
   const auto Completed = applyEnvironment(
-      Configured, {environmentVariable(platform::MetricsAddressVariable)});
+      Configured, {environmentVariable(platform::MetricsAddressVariable),
+                   environmentVariable(platform::MemoryLimitVariable)});
   if (!Completed)
     std::cerr << "comfreyrilld: environment variable ignored: "
               << Completed.error().Message << '\n';
@@ -92,6 +98,7 @@
   // Without this, a write to a connection that the peer has closed would end
   // the process.
   std::signal(SIGPIPE, SIG_IGN);
+  ::mallopt(M_MMAP_THRESHOLD, DirectAllocationBytes);
   const SystemClock TimeSource;
   Gateway Process(Configured.value(), Loop, TimeSource);
   const auto Started = Process.start();
--- a/Services/Gateway/GatewaySettings.cpp
+++ b/Services/Gateway/GatewaySettings.cpp
@@ -1,6 +1,7 @@
 #include "GatewaySettings.h"
 
 #include <LibJson/JsonReader.h>
+#include <charconv>
 
 namespace comfreyrill {
 
@@ -8,6 +9,9 @@
 
 constexpr std::size_t SeedsMaximum = 64;
 constexpr double SecondsMaximum = 3600;
+constexpr double MemoryLimitMinimum = 32;
+constexpr double MemoryLimitMaximum = 1e6;
+constexpr double BytesPerMegabyte = 1e6;
 
 void readSeconds(JsonReader Reader, Duration &Out) {
   double Seconds = 0;
@@ -16,6 +20,23 @@
         std::chrono::duration<double>(Seconds));
 }
 
+std::uint64_t bytesOf(double Megabytes) {
+  return static_cast<std::uint64_t>(Megabytes * BytesPerMegabyte);
+}
+
+Result<std::uint64_t> parseMemoryLimit(std::string_view Text) {
+  double Megabytes = 0;
+  const auto [End, Code] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Megabytes);
+  if (Code != std::errc{} || End != Text.data() + Text.size() ||
+      !(Megabytes >= MemoryLimitMinimum && Megabytes <= MemoryLimitMaximum))
+    return Error{ErrorKind::InvalidInput,
+                 "'" + std::string(Text) +
+                     "' is no memory limit; name it in megabytes, from 32 to "
+                     "1000000"};
+  return bytesOf(Megabytes);
+}
+
 } // namespace
 
 Result<GatewaySettings> parseGatewaySettings(std::string_view Text) {
@@ -31,6 +52,10 @@
   JsonReader Metrics = Root.optional("metrics_address");
   if (Metrics.isPresent())
     Metrics.endpoint(Out.MetricsAddress.emplace(), 0);
+  double MemoryMegabytes = 0;
+  if (Root.optional("memory_limit_mb")
+          .number(MemoryMegabytes, MemoryLimitMinimum, MemoryLimitMaximum))
+    Out.MemoryLimit = bytesOf(MemoryMegabytes);
   Root.optional("is_first_start").boolean(Out.IsFirstStart);
   Root.optional("seeds").array(0, SeedsMaximum, [&](JsonReader Element) {
     Endpoint Value;
@@ -59,9 +84,23 @@
 
 Result<void> applyEnvironment(GatewaySettings &Configured,
                               const GatewayEnvironment &Environment) {
+  std::optional<Error> Fault;
+  if (!Configured.MemoryLimit && !Environment.MemoryLimit.empty()) {
+    const auto Limit = parseMemoryLimit(Environment.MemoryLimit);
+    if (Limit)
+      Configured.MemoryLimit = Limit.value();
+    else
+      Fault = Limit.error();
+  }
   if (!Configured.MetricsAddress && !Environment.MetricsAddress.empty()) {
-    TRY(Configured.MetricsAddress, parseEndpoint(Environment.MetricsAddress));
+    auto Address = parseEndpoint(Environment.MetricsAddress);
+    if (Address)
+      Configured.MetricsAddress = std::move(Address.value());
+    else
+      Fault = Address.error();
   }
+  if (Fault)
+    return *Fault;
   return outcome::success();
 }
 
--- a/Services/Gateway/GatewaySettings.h
+++ b/Services/Gateway/GatewaySettings.h
@@ -33,6 +33,8 @@
   /// True in the first start of a fleet, well before there are callers.
   bool IsFirstStart = false;
   Endpoint Store;
+  /// Memory that the process may use, in bytes.
+  std::optional<std::uint64_t> MemoryLimit;
   /// Time between SIGTERM and SIGKILL.
   Duration StopTime = std::chrono::seconds(6);
   /// Longest time for which callers may cache a directory response.
@@ -49,6 +51,8 @@
 /// set.
 struct GatewayEnvironment {
   std::string MetricsAddress;
+  /// In megabytes.
+  std::string MemoryLimit;
 };
 
 /// Parses and validates settings. Fails with InvalidInput; the message lists
@@ -56,7 +60,7 @@
 Result<GatewaySettings> parseGatewaySettings(std::string_view Text);
 
 /// Completes the settings that the file has left out. Fails with InvalidInput
-/// when a value cannot be used, and leaves that setting as it is.
+/// when a value cannot be used; that setting stays as it is.
 Result<void> applyEnvironment(GatewaySettings &Configured,
                               const GatewayEnvironment &Environment);
 
--- a/Services/Gateway/RequestExecution.cpp
+++ b/Services/Gateway/RequestExecution.cpp
@@ -53,7 +53,8 @@
       Metadata(platform::decodeRequestMetadata(this->Request)),
       IdDigest(std::hash<std::string>{}(Metadata.Id.Value)),
       ReceivedAt(Dependencies.TimeSource.now()),
-      SelectionTimer(Dependencies.Context) {}
+      SelectionTimer(Dependencies.Context),
+      HeldAnswer(&Dependencies.Messages, MessageKind::Response) {}
 
 void RequestExecution::cancel() {
   HasCallerLeft = true;
@@ -384,12 +385,15 @@
         Process, Target.Address, platform::decodeTargetSignals(Response),
         SignalSource::Answer);
   };
+  // The body is lent to the attempt, because it may be large.
+  HttpRequest Sent = platform::encodeAttempt(Request, std::move(Request.body()),
+                                             Id, Deadline - Begin);
   auto Answer = co_await ActiveConnection->exchange(
-      platform::encodeAttempt(Request, Id, Deadline - Begin), answerLimits(),
-      Deadline, [&](const HttpResponse &Response) {
+      Sent, answerLimits(), Deadline, [&](const HttpResponse &Response) {
         RecordSignals(Response);
         return platform::matchAnswer(Response, Metadata.Id);
       });
+  Request.body() = std::move(Sent.body());
   if (!Answer && Answer.error().IncompleteResponse)
     RecordSignals(*Answer.error().IncompleteResponse);
   Dependencies.CurrentState.endAttempt(Process);
@@ -399,6 +403,7 @@
   bool HasAskedForPause = false;
   bool IsConnectionLost = false;
   if (Answer) {
+    HeldAnswer.hold(Answer.value().body().size());
     const TargetAnswer Read = platform::decodeAnswer(Answer.value());
     Report.Outcome = classifyAnswer(Read);
     // A target that pauses has not failed.
--- a/Services/Gateway/RequestExecution.h
+++ b/Services/Gateway/RequestExecution.h
@@ -110,6 +110,8 @@
   std::optional<Duration> QuarantineLeft;
   Timer SelectionTimer;
   std::shared_ptr<HttpConnection> ActiveConnection;
+  /// Memory of the last answer, which is kept while another attempt runs.
+  MessageShare HeldAnswer;
 };
 
 } // namespace comfreyrill
--- a/Tests/Gateway/MeshHost.h
+++ b/Tests/Gateway/MeshHost.h
@@ -27,10 +27,12 @@
                      {0.2, 10, std::chrono::seconds(10)},
                      Bucket,
                      60,
+                     Messages,
                      [] { return std::size_t{2}; }},
         Mesh(std::make_shared<PeerMesh>(Loop.get_executor(), TimeSource,
                                         PeerMeshLimits{}, Random(1))) {}
 
+  MessageMemory Messages{MessageMemoryLimits{}};
   Log Output{LogLevel::Error, ""};
   RateLimitedLog Events;
   Random Generator{20261204};
--- a/Tests/Gateway/TestGatewaySettings.cpp
+++ b/Tests/Gateway/TestGatewaySettings.cpp
@@ -45,22 +45,40 @@
   auto Read = parseGatewaySettings(Valid);
   ASSERT_TRUE(Read) << Read.error().Message;
   EXPECT_EQ(Read.value().MetricsAddress, std::nullopt);
-  EXPECT_FALSE(applyEnvironment(Read.value(), {"10.1.0.10:"}));
+  EXPECT_FALSE(applyEnvironment(Read.value(), {"10.1.0.10:", ""}));
   EXPECT_EQ(Read.value().MetricsAddress, std::nullopt);
   EXPECT_TRUE(applyEnvironment(Read.value(), {}));
   EXPECT_EQ(Read.value().MetricsAddress, std::nullopt);
-  EXPECT_TRUE(applyEnvironment(Read.value(), {"10.1.0.10:7720"}));
+  EXPECT_TRUE(applyEnvironment(Read.value(), {"10.1.0.10:7720", ""}));
   EXPECT_EQ(Read.value().MetricsAddress, (Endpoint{"10.1.0.10", 7720}));
 
   const std::string Fields(Valid.substr(0, Valid.size() - 1));
   auto Named =
       parseGatewaySettings(Fields + R"(,"metrics_address":"10.1.0.10:9090"})");
   ASSERT_TRUE(Named) << Named.error().Message;
-  EXPECT_TRUE(applyEnvironment(Named.value(), {"10.1.0.10:7720"}));
+  EXPECT_TRUE(applyEnvironment(Named.value(), {"10.1.0.10:7720", ""}));
   EXPECT_EQ(Named.value().MetricsAddress, (Endpoint{"10.1.0.10", 9090}));
   EXPECT_FALSE(parseGatewaySettings(Fields + R"(,"metrics_address":9090})"));
 }
 
+// Guards against a memory limit that is ignored because of another variable
+// that cannot be used.
+TEST(GatewaySettings, MemoryLimitIsReadInMegabytes) {
+  auto Read = parseGatewaySettings(Valid);
+  ASSERT_TRUE(Read) << Read.error().Message;
+  for (const char *Text : {"much", "260 MB", "-1", "nan", "0"})
+    EXPECT_FALSE(applyEnvironment(Read.value(), {"", Text})) << Text;
+  EXPECT_EQ(Read.value().MemoryLimit, std::nullopt);
+  EXPECT_FALSE(applyEnvironment(Read.value(), {"nowhere", "260"}));
+  EXPECT_EQ(Read.value().MemoryLimit, 260'000'000U);
+
+  const std::string Fields(Valid.substr(0, Valid.size() - 1));
+  auto Named = parseGatewaySettings(Fields + R"(,"memory_limit_mb":128})");
+  ASSERT_TRUE(Named) << Named.error().Message;
+  EXPECT_TRUE(applyEnvironment(Named.value(), {"", "260"}));
+  EXPECT_EQ(Named.value().MemoryLimit, 128'000'000U);
+}
+
 // Guards against reporting only the first error, which would make an operator
 // correct them one by one.
 TEST(GatewaySettings, AllErrorsAreReportedAtOnce) {
--- a/Tests/Gateway/TestMetricsListener.cpp
+++ b/Tests/Gateway/TestMetricsListener.cpp
@@ -47,6 +47,8 @@
     return Status;
   }
 
+  // Connections that the loop still holds at the end refer to it.
+  MessageMemory Messages{MessageMemoryLimits{}};
   asio::io_context Loop{1};
   SystemClock TimeSource;
   Log Output{LogLevel::Error, ""};
@@ -67,6 +69,7 @@
                                    {0.2, 10, 10s},
                                    Bucket,
                                    60,
+                                   Messages,
                                    [] { return std::size_t{1}; }};
   MetricsListener Listener{
       Dependencies,
--- a/Tests/Gateway/TestRequestExecution.cpp
+++ b/Tests/Gateway/TestRequestExecution.cpp
@@ -1,4 +1,5 @@
 #include "CopyingTarget.h"
+#include "EndlessTarget.h"
 
 #include <RequestExecution.h>
 
@@ -155,6 +156,8 @@
 
 class RequestExecutionTest : public testing::Test {
 protected:
+  static constexpr std::uint64_t MessageBytesMaximum = 3'000'000;
+
   void configure(ExecutionSemantics Semantics, Duration Timeout = 1s,
                  std::string HealthPath = "/health") {
     Configuration Made;
@@ -199,14 +202,22 @@
                                  TargetFailure::Connection);
   }
 
-  std::shared_ptr<RequestExecution> begin(const std::string &Path = "/x/1",
-                                          const std::string &Id = "r-1") {
+  std::shared_ptr<RequestExecution>
+  make(const std::string &Path, const std::string &Id, std::string Body = {}) {
     HttpRequest Request(http::verb::get, Path, 11);
     Request.set(http::field::host, "a.example");
     Request.set("Request-Id", Id);
     Request.set("Request-Deadline", "3000");
-    auto Execution = std::make_shared<RequestExecution>(
-        Dependencies, Prober, *Quarantine, std::move(Request), "192.0.2.1");
+    Request.body() = std::move(Body);
+    Request.prepare_payload();
+    return std::make_shared<RequestExecution>(Dependencies, Prober, *Quarantine,
+                                              std::move(Request), "192.0.2.1");
+  }
+
+  std::shared_ptr<RequestExecution> begin(const std::string &Path = "/x/1",
+                                          const std::string &Id = "r-1",
+                                          std::string Body = {}) {
+    auto Execution = make(Path, Id, std::move(Body));
     asio::co_spawn(
         Loop,
         [this, Execution]() -> Awaitable<void> {
@@ -222,12 +233,14 @@
     return std::move(*Answer);
   }
 
+  // Connections that the loop still holds at the end refer to it.
+  MessageMemory Messages{{MessageBytesMaximum, MessageBytesMaximum}};
   asio::io_context Loop{1};
   SystemClock TimeSource;
   Log Output{LogLevel::Error, ""};
   RateLimitedLog Events{Output, TimeSource};
   Random Generator{20261204};
-  ConnectionPool Pool{Loop.get_executor(), TimeSource, 5s};
+  ConnectionPool Pool{Loop.get_executor(), TimeSource, 5s, &Messages};
   GatewayState CurrentState{TimeSource, Generator, Events};
   GatewayMetrics ProcessMetrics;
   ProbeTokenBucket Bucket;
@@ -242,6 +255,7 @@
                                    {0.2, 10, 10s},
                                    Bucket,
                                    60,
+                                   Messages,
                                    [] { return std::size_t{1}; }};
   TargetProber Prober{Dependencies};
   std::shared_ptr<CrashQuarantine> Quarantine =
@@ -964,6 +978,63 @@
 }
 
 // Guards against reporting an unknown route before any configuration is known.
+// Guards against targets whose answers never end and that use up the memory of
+// the host together: it would end, with the requests of all callers.
+TEST_F(RequestExecutionTest, EndlessAnswersLeaveMemoryForOthers) {
+  configure(ExecutionSemantics::AtMostOnce, 3s);
+  EndlessTarget Faulty(Loop);
+  registerTarget("i-0", Faulty.address());
+  constexpr int Count = 12;
+  int Ended = 0;
+  for (int Number = 0; Number < Count; ++Number) {
+    const auto Execution =
+        make("/x/" + std::to_string(Number), "r-" + std::to_string(Number));
+    asio::co_spawn(
+        Loop,
+        [&, Execution]() -> Awaitable<void> {
+          const HttpResponse Response = co_await Execution->run();
+          // It may have run, whatever has ended the attempt.
+          EXPECT_EQ(Response.result(), http::status::bad_gateway);
+          ++Ended;
+        },
+        asio::detached);
+  }
+  std::uint64_t Peak = 0;
+  while (Ended < Count && Loop.run_one() > 0)
+    Peak = std::max(Peak, Messages.usedBytes());
+  EXPECT_GT(Peak, MessageBytesMaximum / 2);
+  EXPECT_LE(Peak, MessageBytesMaximum);
+  EXPECT_GT(Messages.droppedResponses(), 0U);
+
+  FakeTarget &Sound = addTarget(answerWhole);
+  CurrentState.applyTargetChange({TargetId("i-0"), std::nullopt, {++Revision}},
+                                 "test");
+  begin();
+  EXPECT_EQ(finish().result(), http::status::ok);
+  EXPECT_EQ(Sound.Runs, 1);
+}
+
+// Guards against a body that is lost, or changed, when the request is sent to
+// another target.
+TEST_F(RequestExecutionTest, BodyIsSentAgainWithTheNextAttempt) {
+  configure(ExecutionSemantics::AtMostOnce);
+  std::vector<std::string> Bodies;
+  const auto Recording = [&Bodies](FakeTarget::Behaviour Answer) {
+    return [&Bodies, Answer = std::move(Answer)](
+               const HttpRequest &Request) -> Awaitable<HttpResponse> {
+      Bodies.push_back(Request.body());
+      co_return co_await Answer(Request);
+    };
+  };
+  addTarget(Recording(answerShed));
+  addTarget(Recording(answerWhole));
+  preferFirstTarget();
+  const std::string Body(100'000, 'b');
+  begin("/x/1", "r-1", Body);
+  EXPECT_EQ(finish().result(), http::status::ok);
+  EXPECT_EQ(Bodies, (std::vector<std::string>{Body, Body}));
+}
+
 TEST_F(RequestExecutionTest, UnknownRoutesAndMissingConfigurationDiffer) {
   begin();
   EXPECT_EQ(finish().result(), http::status::service_unavailable);
--- a/Tests/Gateway/TestStoreWatcher.cpp
+++ b/Tests/Gateway/TestStoreWatcher.cpp
@@ -101,6 +101,8 @@
            Position->second.Registration.IsDraining;
   }
 
+  // Connections that the loop still holds at the end refer to it.
+  MessageMemory Messages{MessageMemoryLimits{}};
   asio::io_context Loop{1};
   ShiftedClock TimeSource;
   Log Output{LogLevel::Error, ""};
@@ -122,6 +124,7 @@
                                    {0.2, 10, 10s},
                                    Bucket,
                                    60,
+                                   Messages,
                                    [] { return std::size_t{1}; }};
   soak::ObjectStoreStandIn Store{Loop.get_executor(), TimeSource};
   std::optional<platform::StoreClient> Client;
--- a/Tests/LibHttp/TestHttpServer.cpp
+++ b/Tests/LibHttp/TestHttpServer.cpp
@@ -8,6 +8,8 @@
 // More than the socket buffers of both sides hold.
 constexpr std::size_t LargeBodyBytes = std::size_t{16} * 1024 * 1024;
 
+constexpr std::size_t UploadBytesMaximum = 2 * LargeBodyBytes;
+
 /// Server that responds with "ok", and a client that sends raw bytes to it.
 class ServerFixture : public HttpFixture {
 public:
@@ -25,7 +27,8 @@
           Response.body() = Cause.Message;
           Response.prepare_payload();
           return Response;
-        });
+        },
+        &Memory);
     IsListening = Server->listen({"127.0.0.1", 0}).has_value();
   }
   ~ServerFixture() {
@@ -72,6 +75,7 @@
     co_return Received;
   }
 
+  MessageMemory Memory{{2 * UploadBytesMaximum, UploadBytesMaximum}};
   std::shared_ptr<HttpServer> Server;
   bool IsListening = false;
   bool SawDisconnect = false;
@@ -102,6 +106,39 @@
             std::string::npos);
 }
 
+// Guards against uploads that use up the memory of the host together, against a
+// refusal that is late or lost because the connection is reset, and against
+// memory that stays taken afterwards.
+TEST_F(HttpServerTest, UploadWithoutMemoryIsRefusedBeforeItsBody) {
+  HttpLimits Limits;
+  Limits.BodyBytes = 64 * LargeBodyBytes;
+  Server->setLimits(Limits);
+  const auto Upload = [](std::size_t Bytes) {
+    return "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(Bytes) +
+           "\r\n\r\n";
+  };
+  EXPECT_NE(send(Upload(LargeBodyBytes) + std::string(LargeBodyBytes, 'x'))
+                .find("HTTP/1.1 200"),
+            std::string::npos);
+  // Only the header is sent.
+  EXPECT_NE(send(Upload(UploadBytesMaximum + 1)).find("HTTP/1.1 503"),
+            std::string::npos);
+  // The body is sent without regard to the response.
+  EXPECT_NE(send(Upload(UploadBytesMaximum + 1) +
+                 std::string(UploadBytesMaximum + 1, 'x'))
+                .find("HTTP/1.1 503"),
+            std::string::npos);
+  std::string Chunks = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string Chunk = "100000\r\n" + std::string(0x100000, 'x') + "\r\n";
+  for (std::size_t Sent = 0; Sent <= UploadBytesMaximum; Sent += 0x100000)
+    Chunks += Chunk;
+  EXPECT_NE(send(Chunks + "0\r\n\r\n").find("HTTP/1.1 503"), std::string::npos);
+  EXPECT_EQ(Memory.usedBytes(), 0U);
+  EXPECT_EQ(Memory.deniedMessages(), 3U);
+  EXPECT_NE(send(std::string(ValidRequest)).find("HTTP/1.1 200"),
+            std::string::npos);
+}
+
 // Guards against work on requests whose callers have disconnected.
 TEST_F(HttpServerTest, HandlerIsNotifiedOfDisconnect) {
   asio::co_spawn(
--- a/Tests/platform/TestHttpCodec.cpp
+++ b/Tests/platform/TestHttpCodec.cpp
@@ -32,7 +32,9 @@
 // Guards against a request that reaches a target with changed content, without
 // its time limit, or without the id of the only target that may run it.
 TEST(HttpCodec, AttemptKeepsTheRequestAndNamesTheTarget) {
-  const HttpRequest Sent = encodeAttempt(request(), TargetId("i-7"), 900ms);
+  const HttpRequest Original = request();
+  const HttpRequest Sent =
+      encodeAttempt(Original, Original.body(), TargetId("i-7"), 900ms);
   EXPECT_EQ(Sent.method(), http::verb::post);
   EXPECT_EQ(Sent.target(), "/stock/1?x=2");
   EXPECT_EQ(Sent.body(), "body");
