Gateway: Begin no attempt that outlasts the drain

What callers saw: in a planned stop of one host, requests whose last byte came 3.8 to 4.8 s after SIGTERM ran at a target and were cut off with no answer at the end of the stop time, also those that may not be repeated.

Cause: a draining gateway goes on reading requests that have begun to arrive and passed each on whatever time was left; likewise second attempts and requests held for a pause or in selection. Ruled out: connections in the accept queue and second requests of kept connections.

Change: DrainSchedule decides before each attempt. It begins if its deadline is before the end of the drain, or, while connections are accepted, if twice its expected time is left. Otherwise the request is answered 503 "draining" at once; nothing was sent. Requests that have not arrived whole after 85% of the stop time get the same answer. The start line of the log names the bound address, which tests read.

--- a/Libraries/LibGateway/Admission.cpp
+++ b/Libraries/LibGateway/Admission.cpp
@@ -50,6 +50,8 @@
     return "paused";
   case RefusalCause::Quarantined:
     return "quarantined";
+  case RefusalCause::Draining:
+    return "draining";
   case RefusalCause::RetryBudget:
     return "retry_budget";
   }
@@ -58,12 +60,13 @@
 
 // The delay is randomized, so that rejected callers do not retry at the same
 // time. Under overload the delays spread over one processing time, in which
-// each slot becomes free about once. When only the retry budget is exhausted,
-// other targets have free capacity, and the caller's retry is a new request
-// that the budget allows.
+// each slot becomes free about once. When only the retry budget is exhausted or
+// this host shuts down, there is free capacity, and the caller's retry is a new
+// request that the budget allows and that goes to another host.
 Duration retryAfter(RefusalCause Cause, Duration ProcessingTime,
                     Random &Generator) {
-  const bool HasFreeCapacity = Cause == RefusalCause::RetryBudget;
+  const bool HasFreeCapacity =
+      Cause == RefusalCause::RetryBudget || Cause == RefusalCause::Draining;
   std::uniform_real_distribution<double> Factor(HasFreeCapacity ? 0.05 : 0.5,
                                                 HasFreeCapacity ? 0.25 : 1.5);
   return std::chrono::duration_cast<Duration>(ProcessingTime *
--- a/Libraries/LibGateway/Admission.h
+++ b/Libraries/LibGateway/Admission.h
@@ -48,6 +48,8 @@
   Paused,
   /// Copies of the request have crashed targets.
   Quarantined,
+  /// The host shuts down before the request would have ended.
+  Draining,
   /// A target proved that it did not run the request, and the retry budget of
   /// the fleet allows no further attempt.
   RetryBudget,
--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -59,6 +59,8 @@
   TimePoint PhaseSince;
   /// The caller may still be sending a request that was rejected.
   bool HasUnreadRequest = false;
+  /// The request that is being read is not served.
+  bool IsRejected = false;
 };
 
 void Disconnect::onOccurrence(std::function<void()> NewCallback) {
@@ -123,6 +125,18 @@
       ActiveSession->close();
 }
 
+void HttpServer::rejectUnreadRequests() {
+  for (const auto &ActiveSession : Sessions) {
+    const bool IsReading = ActiveSession->Phase == SessionPhase::Idle ||
+                           ActiveSession->Phase == SessionPhase::Reading;
+    if (!IsReading || ActiveSession->isIdle() || ActiveSession->IsRejected)
+      continue;
+    ActiveSession->IsRejected = true;
+    boost::system::error_code Ignored;
+    ActiveSession->Socket.cancel(Ignored);
+  }
+}
+
 void HttpServer::close() {
   stopAccepting();
   SweepTimer.cancel();
@@ -205,8 +219,12 @@
         std::max<std::uint64_t>(ExpectedBytes, Parser.get().body().size());
     if (!Share.resize(HeldBytes + ActiveSession.Buffer.capacity()))
       co_return make_error_code(boost::system::errc::not_enough_memory);
+    if (ActiveSession.IsRejected)
+      co_return make_error_code(boost::system::errc::operation_canceled);
     const auto [ReadError, ReadBytes] = co_await http::async_read_some(
         ActiveSession.Socket, ActiveSession.Buffer, Parser, UseTuple);
+    if (ReadError && ActiveSession.IsRejected)
+      co_return make_error_code(boost::system::errc::operation_canceled);
     if (ReadError)
       co_return ReadError;
   }
@@ -221,6 +239,12 @@
         Error{ErrorKind::Unavailable,
               "the host has no memory left for this request, which has not "
               "run; send it again later or to another host"});
+  if (ReadError == boost::system::errc::operation_canceled)
+    return MakeErrorResponse(
+        http::status::service_unavailable,
+        Error{ErrorKind::Unavailable,
+              "the host is draining, and the request, which had not arrived "
+              "whole, has not run; send it to another host"});
   const bool IsTooLarge = ReadError == http::error::body_limit ||
                           ReadError == http::error::header_limit ||
                           ReadError == http::error::buffer_overflow;
@@ -248,6 +272,7 @@
   bool KeepAlive = false;
   if (ReadError) {
     if (ReadError != boost::system::errc::not_enough_memory &&
+        ReadError != boost::system::errc::operation_canceled &&
         ReadError.category() !=
             make_error_code(http::error::end_of_stream).category())
       co_return false;
--- a/Libraries/LibHttp/HttpServer.h
+++ b/Libraries/LibHttp/HttpServer.h
@@ -68,6 +68,9 @@
   void stopAccepting();
   /// Closes the connections without a request in progress.
   void closeIdleSessions();
+  /// Answers 503 to the requests that have not arrived whole. Their callers are
+  /// told that they have not run.
+  void rejectUnreadRequests();
   /// Stops accepting and closes all connections.
   void close();
 
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -25,12 +25,6 @@
 // one costs callers two more round trips on most requests. Callers avoid a dead
 // host after their first failed connection anyway.
 constexpr Duration AddressLifetime = std::chrono::seconds(5);
-// Share of the stop time during which a draining host still accepts requests,
-// because callers may have cached its address.
-constexpr double AcceptingShare = 0.5;
-// Share of the stop time after which the drain ends. The rest is reserved for
-// the exit of the process.
-constexpr double DrainShare = 0.95;
 constexpr std::uint32_t SmallListenerConnections = 512;
 constexpr std::uint64_t DefaultMemoryLimitBytes = 256'000'000;
 // Memory is short until large messages have been sent or have failed.
@@ -63,10 +57,6 @@
                                     std::nullopt);
 }
 
-Duration scaled(Duration Whole, double Share) {
-  return std::chrono::duration_cast<Duration>(Whole * Share);
-}
-
 } // namespace
 
 Gateway::Gateway(GatewaySettings Configured, asio::io_context &Loop,
@@ -117,7 +107,8 @@
   Dependencies.emplace(GatewayDependencies{
       Context, TimeSource, *Generator, *TargetConnections, *CurrentState,
       *Events, *ProcessMetrics, Configured.Domain, Configured.RetryPolicy,
-      *ProbeTokens, Configured.ProbesPerTargetPerSecond, *Messages, nullptr});
+      *ProbeTokens, Configured.ProbesPerTargetPerSecond, std::nullopt,
+      *Messages, nullptr});
   return outcome::success();
 }
 
@@ -202,10 +193,11 @@
       });
   TRY(Peers->listen(Configured.PeerAddress));
   TRY(Registry.add("peer_listener", Peers));
+  TRY(const auto Callers, Registry.find<HttpServer>("callers"));
   LogLine Line("start");
   Line.field("host", Configured.Host.Value)
       .field("failure_domain", Configured.Domain.Value)
-      .field("caller_address", formatEndpoint(Configured.CallerAddress));
+      .field("caller_address", formatEndpoint(Callers->localEndpoint()));
   Dependencies->Events.writeAlways(LogLevel::Info, Line);
   const auto MetricsServer = std::make_shared<MetricsListener>(
       *Dependencies,
@@ -356,13 +348,15 @@
   Line.field("requests", std::uint64_t{Callers.unfinishedRequests()});
   Dependencies->Events.writeAlways(LogLevel::Info, Line);
 
-  const TimePoint AcceptDeadline =
-      Begin + scaled(Configured.StopTime, AcceptingShare);
-  const TimePoint DrainDeadline =
-      Begin + scaled(Configured.StopTime, DrainShare);
+  // The platform has begun to count the stop time, so a reload does not change
+  // the schedule.
+  const DrainSchedule Schedule = drainSchedule(Begin, Configured.StopTime);
+  Dependencies->Drain = Schedule;
   Timer Poll(Loop.get_executor());
-  while (TimeSource.now() < DrainDeadline) {
-    if (TimeSource.now() >= AcceptDeadline) {
+  while (TimeSource.now() < Schedule.End) {
+    if (TimeSource.now() >= Schedule.ReadUntil)
+      Callers.rejectUnreadRequests();
+    if (TimeSource.now() >= Schedule.AcceptUntil) {
       Callers.stopAccepting();
       Callers.closeIdleSessions();
       if (Callers.unfinishedRequests() == 0)
--- a/Services/Gateway/GatewayDependencies.h
+++ b/Services/Gateway/GatewayDependencies.h
@@ -5,11 +5,13 @@
 
 #include <LibCore/Async.h>
 #include <LibCore/Random.h>
+#include <LibGateway/DrainSchedule.h>
 #include <LibGateway/ProbeTokenBucket.h>
 #include <LibHttp/ConnectionPool.h>
 #include <LibLog/RateLimitedLog.h>
 
 #include <functional>
+#include <optional>
 
 namespace comfreyrill {
 
@@ -27,6 +29,8 @@
   RetryBudgetPolicy RetryPolicy;
   ProbeTokenBucket &ProbeTokens;
   double ProbesPerTargetPerSecond = 0;
+  /// Set when the host shuts down.
+  std::optional<DrainSchedule> Drain;
   /// Memory of the requests and answers that this process holds.
   MessageMemory &Messages;
   /// Returns the number of hosts that share the budgets of the fleet.
--- a/Services/Gateway/RequestExecution.cpp
+++ b/Services/Gateway/RequestExecution.cpp
@@ -95,7 +95,8 @@
   std::optional<AttemptReport> MayHaveRun;
   AttemptOutcome Last = AttemptOutcome::NotRun;
   while (!HasCallerLeft && AttemptCount < Matched.AttemptsMaximum &&
-         isSafeToRetry(Matched.Semantics, Last) && !isQuarantined()) {
+         isSafeToRetry(Matched.Semantics, Last) && !isQuarantined() &&
+         !isTooLateInDrain(workTime())) {
     auto Target = co_await findTarget();
     if (!Target)
       break;
@@ -104,8 +105,11 @@
     const bool IsUsable = Dependencies.CurrentState.admitsAttempt(Process) &&
                           Dependencies.CurrentState.mayUseFor(Service, Process);
     IsSelectionRepeated = !IsUsable;
-    // Other copies may have crashed targets meanwhile.
-    if (HasCallerLeft || !IsUsable || isQuarantined() || !mayBeginAttempt()) {
+    // Other copies may have crashed targets meanwhile, or the host may have
+    // been told to shut down.
+    if (HasCallerLeft || !IsUsable || isQuarantined() ||
+        isTooLateInDrain(expectedTime(Target->Candidate)) ||
+        !mayBeginAttempt()) {
       Prober.release(std::move(*Target));
       if (!HasCallerLeft && !IsUsable)
         continue;
@@ -141,6 +145,20 @@
   return QuarantineLeft.has_value();
 }
 
+bool RequestExecution::isTooLateInDrain(Duration ExpectedTime) {
+  if (!Dependencies.Drain || ::comfreyrill::mayBeginAttempt(
+                                 *Dependencies.Drain, {Deadline, ExpectedTime},
+                                 Dependencies.TimeSource.now()))
+    return false;
+  Refusal = RefusalCause::Draining;
+  return true;
+}
+
+Duration RequestExecution::expectedTime(const ProbedCandidate &Target) {
+  return std::chrono::duration_cast<Duration>(workTime() *
+                                              expectedLatencyFactor(Target));
+}
+
 // A request that may be sent again waits until it is known whether the target
 // has crashed. The caller of another one has its answer already.
 Awaitable<void> RequestExecution::recordEvidence(AttemptOutcome Outcome,
@@ -262,7 +280,7 @@
 
 Awaitable<std::optional<ConnectedTarget>> RequestExecution::findTarget() {
   bool IsFirstPass = !IsSelectionRepeated;
-  while (!HasCallerLeft) {
+  while (!HasCallerLeft && !isTooLateInDrain(workTime())) {
     std::vector<ConnectedTarget> Found;
     std::vector<ProbedCandidate> Probed;
     std::optional<std::size_t> Best;
@@ -335,7 +353,8 @@
   HasWaitedForPause = true;
   const TimePoint PauseEnd = *PauseEndsAt;
   const TimePoint WaitEnd = Now + *Wait;
-  while (!HasCallerLeft && Dependencies.TimeSource.now() < WaitEnd) {
+  while (!HasCallerLeft && !isTooLateInDrain(workTime()) &&
+         Dependencies.TimeSource.now() < WaitEnd) {
     SelectionTimer.expires_at(
         std::min(WaitEnd, Dependencies.TimeSource.now() + HeldCheckInterval));
     co_await SelectionTimer.async_wait(UseTuple);
@@ -359,8 +378,7 @@
   // Without a probe result in this pass, no free slot is assumed.
   Input.ExpectedTime = workTime();
   if (Best != nullptr) {
-    Input.ExpectedTime = std::chrono::duration_cast<Duration>(
-        workTime() * expectedLatencyFactor(*Best));
+    Input.ExpectedTime = expectedTime(*Best);
     Input.HasFreeSlot = hasFreeSlot(Best->Load);
   }
   Input.Waited = Now - ReceivedAt;
--- a/Services/Gateway/RequestExecution.h
+++ b/Services/Gateway/RequestExecution.h
@@ -63,6 +63,11 @@
   Awaitable<bool> waitForPauseEnd();
   AdmissionDecision admit(const ProbedCandidate *Best, bool IsFirstPass);
   Awaitable<AttemptReport> attempt(ConnectedTarget Target);
+  /// Returns true if the host shuts down before an attempt that begins now
+  /// would have ended.
+  bool isTooLateInDrain(Duration ExpectedTime);
+  /// Expected processing time at a target.
+  Duration expectedTime(const ProbedCandidate &Target);
   /// Returns true if copies of the request have crashed targets, so that it
   /// must not be sent to another one.
   bool isQuarantined();
--- a/Tests/Gateway/MeshHost.h
+++ b/Tests/Gateway/MeshHost.h
@@ -27,6 +27,7 @@
                      {0.2, 10, std::chrono::seconds(10)},
                      Bucket,
                      60,
+                     std::nullopt,
                      Messages,
                      [] { return std::size_t{2}; }},
         Mesh(std::make_shared<PeerMesh>(Loop.get_executor(), TimeSource,
--- a/Tests/Gateway/TestMetricsListener.cpp
+++ b/Tests/Gateway/TestMetricsListener.cpp
@@ -69,6 +69,7 @@
                                    {0.2, 10, 10s},
                                    Bucket,
                                    60,
+                                   std::nullopt,
                                    Messages,
                                    [] { return std::size_t{1}; }};
   MetricsListener Listener{
--- a/Tests/Gateway/TestRequestExecution.cpp
+++ b/Tests/Gateway/TestRequestExecution.cpp
@@ -255,6 +255,7 @@
                                    {0.2, 10, 10s},
                                    Bucket,
                                    60,
+                                   std::nullopt,
                                    Messages,
                                    [] { return std::size_t{1}; }};
   TargetProber Prober{Dependencies};
@@ -978,6 +979,79 @@
 }
 
 // Guards against reporting an unknown route before any configuration is known.
+// Guards against a request that a draining host passes on although it cannot
+// wait for the answer, and against refusing one whose answer it can wait for.
+TEST_F(RequestExecutionTest, DrainingHostBeginsNoLateAttempt) {
+  configure(ExecutionSemantics::AtMostOnce);
+  FakeTarget &Only = addTarget(answerWhole);
+  Dependencies.Drain = drainSchedule(TimeSource.now(), 200ms);
+  begin();
+  const HttpResponse Refused = finish();
+  EXPECT_EQ(Refused.result(), http::status::service_unavailable);
+  EXPECT_NE(Refused.body().find("draining"), std::string::npos);
+  EXPECT_EQ(Only.Runs, 0);
+  EXPECT_EQ(Only.Probes, 0);
+
+  Dependencies.Drain = drainSchedule(TimeSource.now(), 10s);
+  Answer.reset();
+  begin();
+  EXPECT_EQ(finish().result(), http::status::ok);
+}
+
+// Guards against another attempt that begins late in a drain, and against a
+// refusal as not run although the first attempt may have run.
+TEST_F(RequestExecutionTest, DrainingHostBeginsNoLateRetry) {
+  const auto Draining = [this](FakeTarget::Behaviour Made) {
+    return [this, Made = std::move(Made)](
+               const HttpRequest &Request) -> Awaitable<HttpResponse> {
+      Dependencies.Drain = drainSchedule(TimeSource.now(), 200ms);
+      co_return co_await Made(Request);
+    };
+  };
+  configure(ExecutionSemantics::Idempotent);
+  FakeTarget &Full = addTarget(Draining(answerShed));
+  FakeTarget &Free = addTarget(answerWhole);
+  preferFirstTarget();
+  begin();
+  EXPECT_EQ(finish().result(), http::status::service_unavailable);
+  EXPECT_EQ(Full.Runs, 1);
+  EXPECT_EQ(Free.Runs, 0);
+
+  Dependencies.Drain.reset();
+  Answer.reset();
+  CurrentState.applyTargetChange({TargetId("i-1"), std::nullopt, {++Revision}},
+                                 "test");
+  FakeTarget &Faulty = addTarget(Draining(answerUnsigned));
+  CurrentState.recordFailure(TargetId("i-2"), TargetFailure::Connection);
+  begin();
+  EXPECT_EQ(finish().result(), http::status::bad_gateway);
+  EXPECT_EQ(Faulty.Runs, 1);
+  EXPECT_EQ(Free.Runs, 0);
+}
+
+// Guards against a request that is held for a pause until the host has no time
+// left for it.
+TEST_F(RequestExecutionTest, HeldRequestIsRefusedWhenTheHostDrains) {
+  configure(ExecutionSemantics::AtMostOnce, 3s);
+  FakeTarget &Only = addTarget(answerWhole);
+  Only.ChangeHealth = [](HttpResponse &Health) {
+    Health.result(http::status::service_unavailable);
+    Health.set(http::field::retry_after, "1");
+  };
+  const TimePoint Begin = TimeSource.now();
+  begin();
+  Timer Waiting(Loop.get_executor());
+  Waiting.expires_after(100ms);
+  Waiting.async_wait([&](const boost::system::error_code &) {
+    EXPECT_FALSE(Answer);
+    Dependencies.Drain = drainSchedule(TimeSource.now(), 200ms);
+  });
+  const HttpResponse Refused = finish();
+  EXPECT_EQ(Refused.result(), http::status::service_unavailable);
+  EXPECT_LT(TimeSource.now() - Begin, 800ms);
+  EXPECT_EQ(Only.Runs, 0);
+}
+
 // Guards against targets whose answers never end and that use up the memory of
 // the host together: it would end, with the requests of all callers.
 TEST_F(RequestExecutionTest, EndlessAnswersLeaveMemoryForOthers) {
--- a/Tests/Gateway/TestStoreWatcher.cpp
+++ b/Tests/Gateway/TestStoreWatcher.cpp
@@ -124,6 +124,7 @@
                                    {0.2, 10, 10s},
                                    Bucket,
                                    60,
+                                   std::nullopt,
                                    Messages,
                                    [] { return std::size_t{1}; }};
   soak::ObjectStoreStandIn Store{Loop.get_executor(), TimeSource};
