Gateway: Drain on when SIGTERM is repeated

What callers saw: with a second SIGTERM during a planned stop, all requests in progress were cut off with no answer.

Cause: the second signal of any kind ended the process at once. The drain has an end of its own, before the stop time is over, so nothing is gained by ending it earlier. Ruled out: SIGHUP, which changes no time of a drain that has begun.

Change: a gateway ignores further SIGTERMs; SIGINT still ends it at once, for an operator at a terminal.

--- a/Services/Daemon/main.cpp
+++ b/Services/Daemon/main.cpp
@@ -26,7 +26,8 @@
   --version        Print the version.
   --help           Print this text.
 
-The first SIGTERM or SIGINT drains the host; the second ends it at once.
+The first SIGTERM or SIGINT drains the host; the second ends it at once. A
+gateway is ended at once only by SIGINT: its drain ends with its stop time.
 Exit codes: 0 done, 1 usage, 2 invalid settings, 4 an address is in use.
 )";
 
--- a/Services/Gateway/GatewayMain.cpp
+++ b/Services/Gateway/GatewayMain.cpp
@@ -51,7 +51,13 @@
 Awaitable<void> awaitStop(SignalSet &Signals, Gateway &Process) {
   co_await Signals.async_wait(UseTuple);
   Process.drain();
-  co_await Signals.async_wait(UseTuple);
+  // The drain has its own end. A repeated SIGTERM must not cut off the requests
+  // in progress, while an operator at a terminal may want to.
+  while (true) {
+    const auto [Code, Signal] = co_await Signals.async_wait(UseTuple);
+    if (Code || Signal == SIGINT)
+      break;
+  }
   Process.stop();
 }
 
--- a/Tests/Gateway/TestGatewayDrain.cpp
+++ b/Tests/Gateway/TestGatewayDrain.cpp
@@ -155,6 +155,19 @@
   EXPECT_EQ(Runs, 2);
 }
 
+// Guards against a repeated signal that cuts off the requests in progress.
+TEST_F(GatewayDrainTest, RepeatedTerminationCutsNoRequestOff) {
+  SlowRequest Running;
+  send(Running);
+  EXPECT_TRUE(runUntil([&] { return Runs == 1; }));
+  for (int Count = 0; Count < 3; ++Count) {
+    Process->signal(SIGTERM);
+    runFor(50ms);
+  }
+  EXPECT_TRUE(runUntil([&] { return Running.IsDone; }));
+  EXPECT_EQ(Running.Answer.substr(0, 12), "HTTP/1.1 200");
+}
+
 // Guards against a request that is still arriving when the drain ends, whose
 // caller would not be told that it has not run.
 TEST_F(GatewayDrainTest, RequestThatDoesNotArriveIsRefused) {
