LibHttp: Keep the last response when the next request has arrived

What callers saw: a response that broke off, when the caller had already sent its next request on a connection that was closed after the response, as in a planned stop.

Cause: closing a socket with unread bytes resets the connection, which discards what the kernel has not sent yet. Found while looking at pipelined requests in a drain. Ruled out: next requests that are already in the read buffer; the kernel holds no bytes of them.

Change: the session sends its end of the stream, then reads and discards for up to a second, as it does after a rejected request.

Measured: HttpServerTest.NextRequestDoesNotDestroyTheLastResponse fails without the change (13,780,992 of 16,777,216 bytes, then a reset) and passes with it; all 38 tests of TestLibHttp pass.

--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -13,8 +13,9 @@
 // connections. A timer for each read would cost two timer operations per
 // request.
 constexpr Duration SweepInterval = std::chrono::seconds(1);
-// Time for which the rest of a rejected request is read and discarded. Closing
-// the connection before would reset it, and the caller might lose the response.
+// Time for which the bytes of requests that are not served are read and
+// discarded. Closing the connection before would reset it, and the caller might
+// lose the response.
 constexpr Duration DiscardTime = std::chrono::seconds(1);
 constexpr std::size_t DiscardBufferBytes = std::size_t{4} * 1024;
 
@@ -186,7 +187,7 @@
   }
   boost::system::error_code Ignored;
   ActiveSession->Socket.shutdown(TcpSocket::shutdown_send, Ignored);
-  if (ActiveSession->HasUnreadRequest)
+  if (ActiveSession->HasUnreadRequest || ActiveSession->hasUnreadBytes())
     co_await discardInput(*ActiveSession);
   ActiveSession->close();
   Sessions.erase(ActiveSession);
--- a/Tests/LibHttp/TestHttpServer.cpp
+++ b/Tests/LibHttp/TestHttpServer.cpp
@@ -253,6 +253,39 @@
   EXPECT_GT(Received.size(), LargeBodyBytes);
 }
 
+// Guards against a response that is lost because the caller has sent its next
+// request, which is not served, before the connection was closed.
+TEST_F(HttpServerTest, NextRequestDoesNotDestroyTheLastResponse) {
+  const Endpoint Remote = Server->localEndpoint();
+  asio::io_context CallerContext;
+  asio::ip::tcp::socket Caller(CallerContext);
+  Caller.open(asio::ip::tcp::v4());
+  Caller.set_option(asio::socket_base::receive_buffer_size(4096));
+  Caller.connect({asio::ip::make_address(Remote.Address), Remote.Port});
+  Server->endKeepAlive();
+  const std::string Request = "GET /large HTTP/1.1\r\nHost: x\r\n\r\n";
+  asio::write(Caller, asio::buffer(Request));
+  Loop.restart();
+  Loop.run_for(std::chrono::milliseconds(50));
+  asio::write(Caller, asio::buffer(Request));
+  std::string Received;
+  boost::system::error_code End;
+  asio::async_read(Caller, asio::dynamic_buffer(Received),
+                   [&End](const boost::system::error_code &Code, std::size_t) {
+                     End = Code;
+                   });
+  const TimePoint Limit = testDeadline();
+  while (!End && TimeSource.now() < Limit) {
+    Loop.restart();
+    Loop.run_for(std::chrono::milliseconds(5));
+    CallerContext.restart();
+    CallerContext.run_for(std::chrono::milliseconds(5));
+  }
+  EXPECT_EQ(End, asio::error::eof);
+  EXPECT_GT(Received.size(), LargeBodyBytes);
+  EXPECT_LT(Received.size(), LargeBodyBytes + 1000);
+}
+
 // Guards against a drain that closes a connection before it has sent the
 // response.
 TEST_F(HttpServerTest, EndKeepAliveClosesAfterTheResponse) {
