Tests/Memory: Play uploads beside small requests

Adds requests with bodies of 64 MiB to the play of endless bodies, which the review had shown to end hosts.

--- a/Tests/Memory/endless_bodies.py
+++ b/Tests/Memory/endless_bodies.py
@@ -8,7 +8,8 @@
 
 Environment: SEED, SECONDS, ENDLESS (how many targets), MB_PER_S (speed of one
 body), RATE (requests per second), LARGE (bytes of an honest answer that every
-hundredth request gets).
+hundredth request gets), UPLOADS (requests with a body of 64 MiB that are sent
+at once, two times).
 
 Exits with 1 if a gateway has ended or held more than its memory, or if an
 honest large answer was lost although no target misbehaves.
@@ -33,6 +34,9 @@
 BYTES_PER_S = float(os.environ.get("MB_PER_S", "6")) * 1e6
 RATE = float(os.environ.get("RATE", "300"))
 LARGE = int(os.environ.get("LARGE", "6000000"))
+UPLOADS = int(os.environ.get("UPLOADS", "0"))
+UPLOAD_BYTES = 64 << 20
+UPLOADS_AT_S = (0.2, 0.6)  # shares of the play
 TARGETS = 9
 PIECE_S = 0.02
 LIMIT_S = 3.0
@@ -82,7 +86,8 @@
 
 def configuration():
     return {"version": "r1", "routes": [
-        scene.route("r-look", "/look/", "read_only", "stock", LIMIT_S, 0.3)],
+        scene.route("r-look", "/look/", "read_only", "stock", 3 * LIMIT_S,
+                    0.3)],
         "services": [{"name": "stock", "healthPath": "/health",
                       "maxConnections": 220, "protocol": "h1", "tls": False}],
         "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 67108864,
@@ -97,7 +102,7 @@
                             ZONES[number % 3], 12, 0.05, stage.seed + number))
     await stage.open(configuration(), targets)
     clients = [stage.client(n, pooled=n % 2 == 0) for n in range(30)]
-    counts = {"small": [0, 0], "large": [0, 0]}
+    counts = {"small": [0, 0], "large": [0, 0], "upload": [0, 0]}
 
     async def send(number):
         kind = "large" if LARGE and number % 100 == 99 else "small"
@@ -108,11 +113,24 @@
         if reply.status == 200 and (kind == "small" or len(reply.body) == LARGE):
             counts[kind][0] += 1
 
-    work = []
+    async def upload(number, at):
+        await asyncio.sleep(at * SECONDS)
+        counts["upload"][1] += 1
+        reply = await clients[number % len(clients)].attempt(
+            f"{stage.seed}.u{number}", "PUT", "/look/upload", LIMIT_S * 3,
+            b"u" * UPLOAD_BYTES, "upload")
+        counts["upload"][0] += reply.status == 200
+        outcome = reply.status or reply.headers.get("outcome", "unsent")
+        uploads[outcome] = uploads.get(outcome, 0) + 1
+
+    uploads = {}
+    work = [asyncio.create_task(upload(number, UPLOADS_AT_S[number % 2]))
+            for number in range(2 * UPLOADS)]
+    waves = len(work)
     start = time.monotonic()
     while time.monotonic() < start + SECONDS:
         due = int((time.monotonic() - start) * RATE)
-        while len(work) < due:
+        while len(work) - waves < due:
             work.append(asyncio.create_task(send(len(work))))
         await asyncio.sleep(0.002)
     await asyncio.gather(*work)
@@ -124,6 +142,7 @@
             faults.append(f"{gateway.name} exceeded its memory or ended")
     for kind, (served, sent) in counts.items():
         print(f"{kind}: {served} of {sent} answered")
+    print("uploads:", uploads)
     statuses = {}
     for _, words in stage.record.lines:
         if words[0] == "answered":
