Gateway: Name the drain's decision apart and send callers on at once

The free function that decides on an attempt had the name of a member function of its only caller, and the refusal of a request that is still arriving in a drain asked the caller to wait a second, although another host can take it at once. It is now endsWithinDrain(), and only a lack of memory sends Retry-After.

--- a/Libraries/LibGateway/DrainSchedule.cpp
+++ b/Libraries/LibGateway/DrainSchedule.cpp
@@ -26,7 +26,7 @@
 
 // A caller that is refused sends the request to another host. One whose attempt
 // is cut off cannot know whether it has run.
-bool mayBeginAttempt(const DrainSchedule &Schedule,
+bool endsWithinDrain(const DrainSchedule &Schedule,
                      const DrainingRequest &Request, TimePoint Now) {
   if (Request.Deadline + WriteReserve <= Schedule.End)
     return true;
--- a/Libraries/LibGateway/DrainSchedule.h
+++ b/Libraries/LibGateway/DrainSchedule.h
@@ -29,7 +29,7 @@
 /// True if an attempt that begins now ends before the drain does: in any case
 /// because of its deadline, or, while connections are accepted, very likely by
 /// its expected time.
-bool mayBeginAttempt(const DrainSchedule &Schedule,
+bool endsWithinDrain(const DrainSchedule &Schedule,
                      const DrainingRequest &Request, TimePoint Now);
 
 } // namespace comfreyrill
--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -243,7 +243,7 @@
   if (ReadError == boost::system::errc::operation_canceled)
     return MakeErrorResponse(
         http::status::service_unavailable,
-        Error{ErrorKind::Unavailable,
+        Error{ErrorKind::Refused,
               "the host is draining, and the request, which had not arrived "
               "whole, has not run; send it to another host"});
   const bool IsTooLarge = ReadError == http::error::body_limit ||
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -46,10 +46,12 @@
 }
 
 HttpResponse replyToMalformedRequest(http::status Status, const Error &Cause) {
-  const bool IsTemporary = Status == http::status::service_unavailable;
+  // A draining host refuses a request that another host can take at once.
+  const bool IsMemoryShort = Status == http::status::service_unavailable &&
+                             Cause.Kind == ErrorKind::Unavailable;
   return platform::encodeLocalReply(
       Status, {}, Cause.Message,
-      IsTemporary ? std::optional(RetryWithoutMemory) : std::nullopt);
+      IsMemoryShort ? std::optional(RetryWithoutMemory) : std::nullopt);
 }
 
 HttpResponse notFound() {
--- a/Services/Gateway/RequestExecution.cpp
+++ b/Services/Gateway/RequestExecution.cpp
@@ -146,9 +146,9 @@
 }
 
 bool RequestExecution::isTooLateInDrain(Duration ExpectedTime) {
-  if (!Dependencies.Drain || ::comfreyrill::mayBeginAttempt(
-                                 *Dependencies.Drain, {Deadline, ExpectedTime},
-                                 Dependencies.TimeSource.now()))
+  if (!Dependencies.Drain ||
+      endsWithinDrain(*Dependencies.Drain, {Deadline, ExpectedTime},
+                      Dependencies.TimeSource.now()))
     return false;
   Refusal = RefusalCause::Draining;
   return true;
--- a/Tests/LibGateway/TestDrainSchedule.cpp
+++ b/Tests/LibGateway/TestDrainSchedule.cpp
@@ -11,7 +11,7 @@
 const DrainSchedule Schedule = drainSchedule(Begin, 6s);
 
 bool mayBegin(Duration At, Duration TimeLeft, Duration Expected) {
-  return mayBeginAttempt(Schedule, {Begin + At + TimeLeft, Expected},
+  return endsWithinDrain(Schedule, {Begin + At + TimeLeft, Expected},
                          Begin + At);
 }
 
