Gateway: Pass the metrics listener only what it needs

It took all dependencies of the gateway's services and used three of them, and its test repeated their setup. It now takes the executor, the clock and the log. Behaviour is the same.

Measured: MetricsListenerTest (2) and TestGatewayMain (6) pass.

--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -202,7 +202,7 @@
       .field("caller_address", formatEndpoint(Callers->localEndpoint()));
   Dependencies->Events.writeAlways(LogLevel::Info, Line);
   const auto MetricsServer = std::make_shared<MetricsListener>(
-      *Dependencies,
+      Context, TimeSource, Dependencies->Events,
       [this](HttpRequest, std::shared_ptr<Disconnect>)
           -> Awaitable<HttpResponse> { co_return handleMetrics(); },
       replyToMalformedRequest, SmallListenerLimits, MetricsRetryInterval);
--- a/Services/Gateway/MetricsListener.cpp
+++ b/Services/Gateway/MetricsListener.cpp
@@ -3,12 +3,14 @@
 namespace comfreyrill {
 
 MetricsListener::MetricsListener(
-    const GatewayDependencies &Dependencies, HttpServer::Handler HandleRequest,
+    const Executor &Context, const Clock &TimeSource, RateLimitedLog &Events,
+    HttpServer::Handler HandleRequest,
     HttpServer::ErrorResponseFactory MakeErrorResponse, HttpLimits Limits,
     Duration RetryInterval)
-    : Dependencies(Dependencies), HandleRequest(std::move(HandleRequest)),
+    : Context(Context), TimeSource(TimeSource), Events(Events),
+      HandleRequest(std::move(HandleRequest)),
       MakeErrorResponse(std::move(MakeErrorResponse)), Limits(Limits),
-      RetryInterval(RetryInterval), RetryTimer(Dependencies.Context) {}
+      RetryInterval(RetryInterval), RetryTimer(Context) {}
 
 void MetricsListener::setAddress(std::optional<Endpoint> NewAddress) {
   if (NewAddress == Address)
@@ -28,22 +30,21 @@
 
 bool MetricsListener::tryToListen(bool IsFirstTry) {
   const auto Candidate = std::make_shared<HttpServer>(
-      Dependencies.Context, Dependencies.TimeSource, Limits, HandleRequest,
-      MakeErrorResponse);
+      Context, TimeSource, Limits, HandleRequest, MakeErrorResponse);
   const auto Bound = Candidate->listen(*Address);
   if (!Bound) {
     if (IsFirstTry) {
       LogLine Line("metrics_unavailable");
       Line.field("address", formatEndpoint(*Address))
           .field("cause", Bound.error().Message);
-      Dependencies.Events.writeAlways(LogLevel::Warning, Line);
+      Events.writeAlways(LogLevel::Warning, Line);
     }
     return false;
   }
   Server = Candidate;
   LogLine Line("metrics_available");
   Line.field("address", formatEndpoint(Server->localEndpoint()));
-  Dependencies.Events.writeAlways(LogLevel::Info, Line);
+  Events.writeAlways(LogLevel::Info, Line);
   return true;
 }
 
--- a/Services/Gateway/MetricsListener.h
+++ b/Services/Gateway/MetricsListener.h
@@ -1,8 +1,7 @@
 #pragma once
 
-#include "GatewayDependencies.h"
-
 #include <LibHttp/HttpServer.h>
+#include <LibLog/RateLimitedLog.h>
 
 #include <memory>
 #include <optional>
@@ -15,8 +14,8 @@
 class MetricsListener {
 public:
   /// RetryInterval is the time between two attempts to bind the address.
-  MetricsListener(const GatewayDependencies &Dependencies,
-                  HttpServer::Handler HandleRequest,
+  MetricsListener(const Executor &Context, const Clock &TimeSource,
+                  RateLimitedLog &Events, HttpServer::Handler HandleRequest,
                   HttpServer::ErrorResponseFactory MakeErrorResponse,
                   HttpLimits Limits, Duration RetryInterval);
 
@@ -31,7 +30,9 @@
   bool tryToListen(bool IsFirstTry);
   void scheduleRetry();
 
-  const GatewayDependencies &Dependencies;
+  Executor Context;
+  const Clock &TimeSource;
+  RateLimitedLog &Events;
   HttpServer::Handler HandleRequest;
   HttpServer::ErrorResponseFactory MakeErrorResponse;
   HttpLimits Limits;
--- a/Tests/Gateway/TestMetricsListener.cpp
+++ b/Tests/Gateway/TestMetricsListener.cpp
@@ -1,6 +1,7 @@
 #include <MetricsListener.h>
 
 #include <LibCore/Listen.h>
+#include <LibHttp/HttpConnection.h>
 #include <gtest/gtest.h>
 
 namespace comfreyrill {
@@ -47,33 +48,14 @@
     return Status;
   }
 
-  // Connections that the loop still holds at the end refer to it.
-  MessageMemory Messages{MessageMemoryLimits{}};
   asio::io_context Loop{1};
   SystemClock TimeSource;
   Log Output{LogLevel::Error, ""};
   RateLimitedLog Events{Output, TimeSource};
-  Random Generator{20261205};
-  ConnectionPool Pool{Loop.get_executor(), TimeSource, 5s};
-  GatewayState CurrentState{TimeSource, Generator, Events};
-  GatewayMetrics ProcessMetrics;
-  ProbeTokenBucket Bucket;
-  GatewayDependencies Dependencies{Loop.get_executor(),
-                                   TimeSource,
-                                   Generator,
-                                   Pool,
-                                   CurrentState,
-                                   Events,
-                                   ProcessMetrics,
-                                   FailureDomain("west"),
-                                   {0.2, 10, 10s},
-                                   Bucket,
-                                   60,
-                                   std::nullopt,
-                                   Messages,
-                                   [] { return std::size_t{1}; }};
   MetricsListener Listener{
-      Dependencies,
+      Loop.get_executor(),
+      TimeSource,
+      Events,
       [](HttpRequest, std::shared_ptr<Disconnect>) -> Awaitable<HttpResponse> {
         HttpResponse Response(http::status::ok, 11);
         Response.prepare_payload();
@@ -82,7 +64,8 @@
       [](http::status Status, const Error &) {
         return HttpResponse(Status, 11);
       },
-      HttpLimits{}, 50ms};
+      HttpLimits{},
+      50ms};
 };
 
 // Guards against a metrics port that stays closed for good because another
