Gateway: Send probes that no target can run as requests

Cause: any path but a target's own health path is a request to it. A probe named its target, so another owner of the address refused it, but the right target with another path ran it: the request id is all that a target needs.

Change: probes carry no request id. Targets refuse a request without one as not run, whatever its path, whoever owns the address and whichever side learned of a change first. That refusal says nothing of a target's health. Late copies of answers to probes are told apart by the id of the target.

Tests: HttpCodec.ProbesCarryNoRequestId and RequestExecutionTest.ProbesAreNotRunByATargetWithAnotherHealthPath failed with the id still in the probe and pass without it. The targets of the soak refuse requests without an id; their proxy marks probes with their connection, which the id did before.

--- a/Services/Gateway/TargetProber.cpp
+++ b/Services/Gateway/TargetProber.cpp
@@ -1,6 +1,5 @@
 #include "TargetProber.h"
 
-#include <LibCore/Hash.h>
 #include <platform/HttpCodec.h>
 
 namespace comfreyrill {
@@ -13,9 +12,6 @@
 constexpr Duration GatherWindow = std::chrono::milliseconds(8);
 // Probes without an answer after this time have failed.
 constexpr Duration ProbeTimeout = std::chrono::milliseconds(250);
-// The ids of probes only have to differ on one connection. Probes are the most
-// frequent messages between failure domains, and their answers repeat the id.
-constexpr std::size_t ProbeIdDigits = 8;
 constexpr std::uint64_t AnswerBytesMaximum = std::uint64_t{64} * 1024;
 
 HttpLimits probeLimits() {
@@ -86,8 +82,6 @@
   const Endpoint Address =
       CurrentState.targets().Targets.at(Candidate.Id).Registration.Address;
   const TimePoint Deadline = Dependencies.TimeSource.now() + ProbeTimeout;
-  const RequestId Id(
-      hexadecimal(Dependencies.Generator()).substr(0, ProbeIdDigits));
 
   auto Acquired =
       co_await Dependencies.Pool.acquire(Address, Deadline, Current->Request);
@@ -107,14 +101,11 @@
                                  SignalSource::Probe);
     };
     const auto Answer = co_await Connection->exchange(
-        platform::encodeProbe(Address, Candidate.Id, Current->HealthPath, Id),
+        platform::encodeProbe(Address, Candidate.Id, Current->HealthPath),
         probeLimits(), Deadline, [&](const HttpResponse &Response) {
           RecordSignals(Response);
-          // The health path of some targets does not repeat the request id. A
-          // late answer of that path only misstates the load.
-          const ResponseMatch Match = platform::matchAnswer(Response, Id);
-          return Match == ResponseMatch::Unidentified ? ResponseMatch::Own
-                                                      : Match;
+          // A late answer to an earlier probe only misstates the load.
+          return platform::matchAnswer(Response, RequestId());
         });
     if (!Answer && Answer.error().IncompleteResponse)
       RecordSignals(*Answer.error().IncompleteResponse);
--- a/Tests/Gateway/TestRequestExecution.cpp
+++ b/Tests/Gateway/TestRequestExecution.cpp
@@ -30,6 +30,13 @@
                 ++Misdirected;
                 co_return Refusal;
               }
+              if (Request.target() != HealthPath &&
+                  Request["Request-Id"].empty()) {
+                HttpResponse Refusal(http::status::bad_request, 11);
+                Refusal.set("Not-Executed", "1");
+                Refusal.prepare_payload();
+                co_return Refusal;
+              }
               if (Request.target() == HealthPath) {
                 HttpResponse Health(http::status::ok, 11);
                 ++Probes;
@@ -39,6 +46,8 @@
                   co_await Delay.async_wait(UseTuple);
                 }
                 Health.set("Backend-Load", Load);
+                if (!Id.empty())
+                  Health.set("Backend-Id", Id);
                 if (RepeatsProbeId)
                   Health.set("Request-Id", Request["Request-Id"]);
                 Health.prepare_payload();
@@ -394,6 +403,21 @@
   EXPECT_FALSE(CurrentState.targetStats(TargetId("i-2")).Outlier.Ejected);
 }
 
+// Guards against probes that run as requests while a target has another health
+// path than the configuration of the host, as in a release that moves the path.
+TEST_F(RequestExecutionTest, ProbesAreNotRunByATargetWithAnotherHealthPath) {
+  configure(ExecutionSemantics::AtMostOnce);
+  FakeTarget &Moved = addTarget(answerWhole);
+  Moved.Id = "i-1";
+  Moved.HealthPath = "/status";
+  for (int Number = 1; Number <= 5; ++Number) {
+    Answer.reset();
+    begin("/x/1", "r-" + std::to_string(Number));
+    EXPECT_EQ(finish().result(), http::status::ok);
+  }
+  EXPECT_EQ(Moved.Runs, 5);
+}
+
 // Guards against probes and requests to a target that has changed its service
 // since it was selected: it would run the probe as a request.
 TEST_F(RequestExecutionTest, TargetThatHasChangedItsServiceGetsNothing) {
--- a/Tests/Soak/LoopbackProxy.cpp
+++ b/Tests/Soak/LoopbackProxy.cpp
@@ -131,10 +131,11 @@
       co_await sleep(Context, Delay);
     if (ReadError)
       break;
+    std::string Data(Buffer.data(), Count);
     if (IsForward && Observe)
-      Observe(Connections->Number, {Buffer.data(), Count});
-    const auto [WriteError, Written] = co_await asio::async_write(
-        To, asio::buffer(Buffer.data(), Count), UseTuple);
+      Observe(Connections->Number, Data);
+    const auto [WriteError, Written] =
+        co_await asio::async_write(To, asio::buffer(Data), UseTuple);
     if (WriteError)
       break;
   }
--- a/Tests/Soak/LoopbackProxy.h
+++ b/Tests/Soak/LoopbackProxy.h
@@ -36,8 +36,8 @@
   Result<void> listen(const std::string &Address);
   Endpoint endpoint() const { return Local; }
   /// Receives all data that is forwarded from accepted connections, with the
-  /// number of the connection.
-  using Observer = std::function<void(std::size_t, std::string_view)>;
+  /// number of the connection, and may change it.
+  using Observer = std::function<void(std::size_t, std::string &)>;
   void observe(Observer NewObserver) { Observe = std::move(NewObserver); }
   /// Connects to another process from now on.
   void redirect(Endpoint NewRemote) { Remote = std::move(NewRemote); }
--- a/Tests/Soak/SoakTarget.cpp
+++ b/Tests/Soak/SoakTarget.cpp
@@ -3,6 +3,8 @@
 #include <LibCore/Hash.h>
 #include <StandIns/HttpHelpers.h>
 
+#include <charconv>
+
 namespace comfreyrill::soak {
 
 namespace {
@@ -15,6 +17,9 @@
 constexpr std::uint64_t FirstStartMilliseconds = 1771918829000;
 // Unknown to the gateway, which passes it on.
 constexpr const char *ProcessHeader = "Soak-Process";
+// Marks a probe with the connection on which it came.
+constexpr const char *ConnectionHeader = "Soak-Connection";
+constexpr std::string_view ProbeLine = "GET /health HTTP/1.1\r\n";
 
 /// Returns the index of the host from a request path such as /read/h3/ID.
 std::size_t hostIndexFromPath(std::string_view Path) {
@@ -72,15 +77,21 @@
 }
 
 // The server does not tell its handler on which connection a request came.
+// Probes have no id by which they could be found again, so they are marked.
 void SoakTarget::observeLink() {
-  Link->observe([this](std::size_t Connection, std::string_view Data) {
+  Link->observe([this](std::size_t Connection, std::string &Data) {
+    if (Data.starts_with(ProbeLine)) {
+      Data.insert(ProbeLine.size(), std::string(ConnectionHeader) + ": " +
+                                        std::to_string(Connection) + "\r\n");
+      return;
+    }
     constexpr std::string_view Name = "\r\nRequest-Id: ";
     const std::size_t Begin = Data.find(Name);
-    if (Begin == std::string_view::npos)
+    if (Begin == std::string::npos)
       return;
-    Data.remove_prefix(Begin + Name.size());
-    ConnectionsByRequest[std::string(Data.substr(0, Data.find('\r')))] =
-        Connection;
+    const std::size_t IdBegin = Begin + Name.size();
+    ConnectionsByRequest[Data.substr(IdBegin, Data.find('\r', IdBegin) -
+                                                  IdBegin)] = Connection;
   });
 }
 
@@ -120,10 +131,12 @@
 }
 
 HttpResponse SoakTarget::answerProbe(const HttpRequest &Request) {
-  const auto Named = Request["Request-Id"];
+  const auto Marked = Request[ConnectionHeader];
+  std::size_t Connection = 0;
+  std::from_chars(Marked.data(), Marked.data() + Marked.size(), Connection);
   const bool IsRefused = isPaused() && RefusesProbes;
   Records.Probes.push_back(
-      {Process, takeConnection({Named.data(), Named.size()}), TimeSource.now(),
+      {Process, Connection, TimeSource.now(),
        IsRefused ? Duration(RetryAfter) : Duration::zero()});
   HttpResponse Health = standins::textResponse(
       IsLeaving || IsRefused ? http::status::service_unavailable
@@ -133,7 +146,6 @@
   if (IsRefused)
     Health.set(http::field::retry_after, std::to_string(RetryAfter.count()));
   Health.set("Backend-Load", load());
-  Health.set("Request-Id", Named);
   return Health;
 }
 
@@ -145,6 +157,12 @@
   const bool IsForOtherInstance = Request["Expected-Instance"] != Process.Id;
   if (Request.target() == "/health" && !IsForOtherInstance)
     co_return answerProbe(Request);
+  if (RequestId.empty() && !IsForOtherInstance) {
+    HttpResponse Refusal(http::status::bad_request, 11);
+    Refusal.set("Not-Executed", "1");
+    Refusal.prepare_payload();
+    co_return Refusal;
+  }
   const bool IsFaulty = ++Handled % 2 == 0;
   const bool IsShed = isPaused() || Running >= Slots ||
                       (Fault == TargetFault::Shed && IsFaulty);
--- a/Tests/platform/TestHttpCodec.cpp
+++ b/Tests/platform/TestHttpCodec.cpp
@@ -126,6 +126,31 @@
   Response.set("Request-Id", "a");
   EXPECT_EQ(matchAnswer(Response, RequestId("a")), ResponseMatch::Own);
   EXPECT_EQ(matchAnswer(Response, RequestId("b")), ResponseMatch::OtherRequest);
+  EXPECT_EQ(matchAnswer(Response, RequestId("")), ResponseMatch::OtherRequest);
+}
+
+// Guards against losing a request because a late copy of the answer to a probe
+// arrives before its own answer.
+TEST(HttpCodec, AnswersToProbesBelongToNoRequest) {
+  HttpResponse Health(http::status::ok, 11);
+  Health.set("Backend-Id", "i-7");
+  EXPECT_EQ(matchAnswer(Health, RequestId("a")), ResponseMatch::OtherRequest);
+  EXPECT_EQ(matchAnswer(Health, RequestId("")), ResponseMatch::Own);
+  Health.result(http::status::misdirected_request);
+  EXPECT_EQ(matchAnswer(Health, RequestId("a")), ResponseMatch::Unidentified);
+}
+
+// Guards against probes that a target can run as requests, and against leaving
+// out a target that only has another health path.
+TEST(HttpCodec, ProbesCarryNoRequestId) {
+  const HttpRequest Probe =
+      encodeProbe({"10.0.0.1", 80}, TargetId("i-7"), "/health");
+  EXPECT_EQ(Probe.count("Request-Id"), 0U);
+  EXPECT_EQ(Probe["Expected-Instance"], "i-7");
+  HttpResponse Refusal(http::status::bad_request, 11);
+  EXPECT_FALSE(decodeProbeAnswer(Refusal).IsHealthy);
+  Refusal.set("Not-Executed", "1");
+  EXPECT_TRUE(decodeProbeAnswer(Refusal).IsHealthy);
 }
 
 TEST(HttpCodec, LocalRepliesCarryRetryAfter) {
