--- a/Libraries/LibCore/Ids.h
+++ b/Libraries/LibCore/Ids.h
@@ -40,6 +40,9 @@
 using HostId = Identifier<struct HostIdTag>;
 using FailureDomain = Identifier<struct FailureDomainTag>;
 using RequestId = Identifier<struct RequestIdTag>;
+/// Name of a client account, an organisation whose callers share keys and an
+/// allotment.
+using AccountName = Identifier<struct AccountNameTag>;
 
 /// Revision of the manifest; incremented by one for each accepted manifest. 0
 /// means no manifest.
--- a/Libraries/LibGateway/Configuration.h
+++ b/Libraries/LibGateway/Configuration.h
@@ -2,8 +2,10 @@
 
 #include <LibCore/Clock.h>
 #include <LibCore/Ids.h>
+#include <LibGateway/AccountKeys.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -39,6 +41,8 @@
   std::vector<WeightedService> Services;
   /// Maximum number of attempts for one request, each at another target.
   std::uint32_t AttemptsMaximum = 1;
+  /// Requests need no key of a client account.
+  bool IsPublic = false;
 };
 
 /// A configured service. Its targets are not configured: they register
@@ -48,6 +52,22 @@
   std::string HealthPath;
   /// Connections that one target accepts from all hosts together.
   std::uint32_t ConnectionsMaximum = 1;
+  /// Time that a target stays cold after its start.
+  Duration ColdTime{0};
+  /// Requests per second that a cold target bears from all hosts together; 0
+  /// means no limit.
+  double ColdRate = 0;
+};
+
+/// A client account with the allotment that binds all hosts together.
+struct ClientAccount {
+  AccountName Name;
+  /// Goes before the priority of the route; 0 is the highest.
+  std::optional<std::uint32_t> Priority;
+  /// Requests per second; 0 means no limit.
+  double Rate = 0;
+  /// Requests beyond the rate after a time without any.
+  double Burst = 0;
 };
 
 /// Limits on the size of requests and on the time to receive them.
@@ -63,6 +83,9 @@
   std::vector<Route> Routes;
   std::vector<ServiceDescription> Services;
   CallerLimits Limits;
+  /// Accounts whose keys requests must carry; absent if requests need none.
+  std::optional<std::vector<ClientAccount>> Accounts;
+  AccountKeys Keys;
 };
 
 } // namespace comfreyrill
--- a/Libraries/LibPeer/Generated/Peer_types.cpp
+++ b/Libraries/LibPeer/Generated/Peer_types.cpp
@@ -3705,6 +3705,520 @@
   return *this;
 }
 
+TokenRequest::~TokenRequest() noexcept {
+}
+
+
+void TokenRequest::__set_account(const std::string& val) {
+  this->account = val;
+}
+
+void TokenRequest::__set_wanted(const int32_t val) {
+  this->wanted = val;
+}
+
+void TokenRequest::__set_configuration(const int64_t val) {
+  this->configuration = val;
+}
+
+uint32_t TokenRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_account = false;
+  bool isset_wanted = false;
+  bool isset_configuration = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->account);
+          isset_account = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->wanted);
+          isset_wanted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->configuration);
+          isset_configuration = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_account)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_wanted)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_configuration)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t TokenRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TokenRequest");
+
+  xfer += oprot->writeFieldBegin("account", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->account);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("wanted", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->wanted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("configuration", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->configuration);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TokenRequest &a, TokenRequest &b) {
+  using ::std::swap;
+  swap(a.account, b.account);
+  swap(a.wanted, b.wanted);
+  swap(a.configuration, b.configuration);
+}
+
+TokenRequest::TokenRequest(const TokenRequest& other99) {
+  account = other99.account;
+  wanted = other99.wanted;
+  configuration = other99.configuration;
+}
+TokenRequest& TokenRequest::operator=(const TokenRequest& other100) {
+  account = other100.account;
+  wanted = other100.wanted;
+  configuration = other100.configuration;
+  return *this;
+}
+
+TokenGrant::~TokenGrant() noexcept {
+}
+
+
+void TokenGrant::__set_account(const std::string& val) {
+  this->account = val;
+}
+
+void TokenGrant::__set_granted(const int32_t val) {
+  this->granted = val;
+}
+
+void TokenGrant::__set_lifetime_ms(const int32_t val) {
+  this->lifetime_ms = val;
+}
+
+void TokenGrant::__set_retry_after_ms(const int32_t val) {
+  this->retry_after_ms = val;
+__isset.retry_after_ms = true;
+}
+
+uint32_t TokenGrant::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_account = false;
+  bool isset_granted = false;
+  bool isset_lifetime_ms = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->account);
+          isset_account = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->granted);
+          isset_granted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->lifetime_ms);
+          isset_lifetime_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->retry_after_ms);
+          this->__isset.retry_after_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_account)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_granted)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_lifetime_ms)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t TokenGrant::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TokenGrant");
+
+  xfer += oprot->writeFieldBegin("account", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->account);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("granted", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->granted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lifetime_ms", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->lifetime_ms);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.retry_after_ms) {
+    xfer += oprot->writeFieldBegin("retry_after_ms", ::apache::thrift::protocol::T_I32, 4);
+    xfer += oprot->writeI32(this->retry_after_ms);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TokenGrant &a, TokenGrant &b) {
+  using ::std::swap;
+  swap(a.account, b.account);
+  swap(a.granted, b.granted);
+  swap(a.lifetime_ms, b.lifetime_ms);
+  swap(a.retry_after_ms, b.retry_after_ms);
+  swap(a.__isset, b.__isset);
+}
+
+TokenGrant::TokenGrant(const TokenGrant& other101) {
+  account = other101.account;
+  granted = other101.granted;
+  lifetime_ms = other101.lifetime_ms;
+  retry_after_ms = other101.retry_after_ms;
+  __isset = other101.__isset;
+}
+TokenGrant& TokenGrant::operator=(const TokenGrant& other102) {
+  account = other102.account;
+  granted = other102.granted;
+  lifetime_ms = other102.lifetime_ms;
+  retry_after_ms = other102.retry_after_ms;
+  __isset = other102.__isset;
+  return *this;
+}
+
+EvacuationList::~EvacuationList() noexcept {
+}
+
+
+void EvacuationList::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void EvacuationList::__set_failure_domains(const std::vector<std::string> & val) {
+  this->failure_domains = val;
+}
+
+uint32_t EvacuationList::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_revision = false;
+  bool isset_failure_domains = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          isset_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->failure_domains.clear();
+            uint32_t _size103;
+            ::apache::thrift::protocol::TType _etype106;
+            xfer += iprot->readListBegin(_etype106, _size103);
+            this->failure_domains.resize(_size103);
+            uint32_t _i107;
+            for (_i107 = 0; _i107 < _size103; ++_i107)
+            {
+              xfer += iprot->readString(this->failure_domains[_i107]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_failure_domains = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_revision)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_failure_domains)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t EvacuationList::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EvacuationList");
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("failure_domains", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->failure_domains.size()));
+    std::vector<std::string> ::const_iterator _iter108;
+    for (_iter108 = this->failure_domains.begin(); _iter108 != this->failure_domains.end(); ++_iter108)
+    {
+      xfer += oprot->writeString((*_iter108));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EvacuationList &a, EvacuationList &b) {
+  using ::std::swap;
+  swap(a.revision, b.revision);
+  swap(a.failure_domains, b.failure_domains);
+}
+
+EvacuationList::EvacuationList(const EvacuationList& other109) {
+  revision = other109.revision;
+  failure_domains = other109.failure_domains;
+}
+EvacuationList& EvacuationList::operator=(const EvacuationList& other110) {
+  revision = other110.revision;
+  failure_domains = other110.failure_domains;
+  return *this;
+}
+
+ColdTarget::~ColdTarget() noexcept {
+}
+
+
+void ColdTarget::__set_target(const std::string& val) {
+  this->target = val;
+}
+
+void ColdTarget::__set_started_at_ms(const int64_t val) {
+  this->started_at_ms = val;
+}
+
+void ColdTarget::__set_left_ms(const int32_t val) {
+  this->left_ms = val;
+}
+
+uint32_t ColdTarget::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_target = false;
+  bool isset_started_at_ms = false;
+  bool isset_left_ms = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->target);
+          isset_target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->started_at_ms);
+          isset_started_at_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->left_ms);
+          isset_left_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_target)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_started_at_ms)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_left_ms)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t ColdTarget::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ColdTarget");
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->target);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("started_at_ms", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->started_at_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("left_ms", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->left_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ColdTarget &a, ColdTarget &b) {
+  using ::std::swap;
+  swap(a.target, b.target);
+  swap(a.started_at_ms, b.started_at_ms);
+  swap(a.left_ms, b.left_ms);
+}
+
+ColdTarget::ColdTarget(const ColdTarget& other111) {
+  target = other111.target;
+  started_at_ms = other111.started_at_ms;
+  left_ms = other111.left_ms;
+}
+ColdTarget& ColdTarget::operator=(const ColdTarget& other112) {
+  target = other112.target;
+  started_at_ms = other112.started_at_ms;
+  left_ms = other112.left_ms;
+  return *this;
+}
+
 LoadNotice::~LoadNotice() noexcept {
 }
 
@@ -3728,6 +4242,16 @@
 __isset.crashes = true;
 }
 
+void LoadNotice::__set_cold(const std::vector<ColdTarget> & val) {
+  this->cold = val;
+__isset.cold = true;
+}
+
+void LoadNotice::__set_evacuations(const EvacuationList& val) {
+  this->evacuations = val;
+__isset.evacuations = true;
+}
+
 uint32_t LoadNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
@@ -3754,14 +4278,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size99;
-            ::apache::thrift::protocol::TType _etype102;
-            xfer += iprot->readListBegin(_etype102, _size99);
-            this->loads.resize(_size99);
-            uint32_t _i103;
-            for (_i103 = 0; _i103 < _size99; ++_i103)
+            uint32_t _size113;
+            ::apache::thrift::protocol::TType _etype116;
+            xfer += iprot->readListBegin(_etype116, _size113);
+            this->loads.resize(_size113);
+            uint32_t _i117;
+            for (_i117 = 0; _i117 < _size113; ++_i117)
             {
-              xfer += this->loads[_i103].read(iprot);
+              xfer += this->loads[_i117].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3774,14 +4298,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->outcomes.clear();
-            uint32_t _size104;
-            ::apache::thrift::protocol::TType _etype107;
-            xfer += iprot->readListBegin(_etype107, _size104);
-            this->outcomes.resize(_size104);
-            uint32_t _i108;
-            for (_i108 = 0; _i108 < _size104; ++_i108)
+            uint32_t _size118;
+            ::apache::thrift::protocol::TType _etype121;
+            xfer += iprot->readListBegin(_etype121, _size118);
+            this->outcomes.resize(_size118);
+            uint32_t _i122;
+            for (_i122 = 0; _i122 < _size118; ++_i122)
             {
-              xfer += this->outcomes[_i108].read(iprot);
+              xfer += this->outcomes[_i122].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3794,14 +4318,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving.clear();
-            uint32_t _size109;
-            ::apache::thrift::protocol::TType _etype112;
-            xfer += iprot->readListBegin(_etype112, _size109);
-            this->leaving.resize(_size109);
-            uint32_t _i113;
-            for (_i113 = 0; _i113 < _size109; ++_i113)
+            uint32_t _size123;
+            ::apache::thrift::protocol::TType _etype126;
+            xfer += iprot->readListBegin(_etype126, _size123);
+            this->leaving.resize(_size123);
+            uint32_t _i127;
+            for (_i127 = 0; _i127 < _size123; ++_i127)
             {
-              xfer += this->leaving[_i113].read(iprot);
+              xfer += this->leaving[_i127].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3818,6 +4342,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->cold.clear();
+            uint32_t _size128;
+            ::apache::thrift::protocol::TType _etype131;
+            xfer += iprot->readListBegin(_etype131, _size128);
+            this->cold.resize(_size128);
+            uint32_t _i132;
+            for (_i132 = 0; _i132 < _size128; ++_i132)
+            {
+              xfer += this->cold[_i132].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.cold = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->evacuations.read(iprot);
+          this->__isset.evacuations = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3840,10 +4392,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<ObservedLoad> ::const_iterator _iter114;
-    for (_iter114 = this->loads.begin(); _iter114 != this->loads.end(); ++_iter114)
+    std::vector<ObservedLoad> ::const_iterator _iter133;
+    for (_iter133 = this->loads.begin(); _iter133 != this->loads.end(); ++_iter133)
     {
-      xfer += (*_iter114).write(oprot);
+      xfer += (*_iter133).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3853,10 +4405,10 @@
     xfer += oprot->writeFieldBegin("outcomes", ::apache::thrift::protocol::T_LIST, 2);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->outcomes.size()));
-      std::vector<ObservedOutcomes> ::const_iterator _iter115;
-      for (_iter115 = this->outcomes.begin(); _iter115 != this->outcomes.end(); ++_iter115)
+      std::vector<ObservedOutcomes> ::const_iterator _iter134;
+      for (_iter134 = this->outcomes.begin(); _iter134 != this->outcomes.end(); ++_iter134)
       {
-        xfer += (*_iter115).write(oprot);
+        xfer += (*_iter134).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3866,10 +4418,10 @@
     xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_LIST, 3);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leaving.size()));
-      std::vector<LeavingTarget> ::const_iterator _iter116;
-      for (_iter116 = this->leaving.begin(); _iter116 != this->leaving.end(); ++_iter116)
+      std::vector<LeavingTarget> ::const_iterator _iter135;
+      for (_iter135 = this->leaving.begin(); _iter135 != this->leaving.end(); ++_iter135)
       {
-        xfer += (*_iter116).write(oprot);
+        xfer += (*_iter135).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3880,6 +4432,24 @@
     xfer += this->crashes.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.cold) {
+    xfer += oprot->writeFieldBegin("cold", ::apache::thrift::protocol::T_LIST, 5);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->cold.size()));
+      std::vector<ColdTarget> ::const_iterator _iter136;
+      for (_iter136 = this->cold.begin(); _iter136 != this->cold.end(); ++_iter136)
+      {
+        xfer += (*_iter136).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.evacuations) {
+    xfer += oprot->writeFieldBegin("evacuations", ::apache::thrift::protocol::T_STRUCT, 6);
+    xfer += this->evacuations.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3891,22 +4461,28 @@
   swap(a.outcomes, b.outcomes);
   swap(a.leaving, b.leaving);
   swap(a.crashes, b.crashes);
+  swap(a.cold, b.cold);
+  swap(a.evacuations, b.evacuations);
   swap(a.__isset, b.__isset);
 }
 
-LoadNotice::LoadNotice(const LoadNotice& other117) {
-  loads = other117.loads;
-  outcomes = other117.outcomes;
-  leaving = other117.leaving;
-  crashes = other117.crashes;
-  __isset = other117.__isset;
-}
-LoadNotice& LoadNotice::operator=(const LoadNotice& other118) {
-  loads = other118.loads;
-  outcomes = other118.outcomes;
-  leaving = other118.leaving;
-  crashes = other118.crashes;
-  __isset = other118.__isset;
+LoadNotice::LoadNotice(const LoadNotice& other137) {
+  loads = other137.loads;
+  outcomes = other137.outcomes;
+  leaving = other137.leaving;
+  crashes = other137.crashes;
+  cold = other137.cold;
+  evacuations = other137.evacuations;
+  __isset = other137.__isset;
+}
+LoadNotice& LoadNotice::operator=(const LoadNotice& other138) {
+  loads = other138.loads;
+  outcomes = other138.outcomes;
+  leaving = other138.leaving;
+  crashes = other138.crashes;
+  cold = other138.cold;
+  evacuations = other138.evacuations;
+  __isset = other138.__isset;
   return *this;
 }
 
@@ -3975,14 +4551,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size119;
-            ::apache::thrift::protocol::TType _etype122;
-            xfer += iprot->readListBegin(_etype122, _size119);
-            this->records.resize(_size119);
-            uint32_t _i123;
-            for (_i123 = 0; _i123 < _size119; ++_i123)
+            uint32_t _size139;
+            ::apache::thrift::protocol::TType _etype142;
+            xfer += iprot->readListBegin(_etype142, _size139);
+            this->records.resize(_size139);
+            uint32_t _i143;
+            for (_i143 = 0; _i143 < _size139; ++_i143)
             {
-              xfer += this->records[_i123].read(iprot);
+              xfer += this->records[_i143].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3995,14 +4571,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->departed.clear();
-            uint32_t _size124;
-            ::apache::thrift::protocol::TType _etype127;
-            xfer += iprot->readListBegin(_etype127, _size124);
-            this->departed.resize(_size124);
-            uint32_t _i128;
-            for (_i128 = 0; _i128 < _size124; ++_i128)
+            uint32_t _size144;
+            ::apache::thrift::protocol::TType _etype147;
+            xfer += iprot->readListBegin(_etype147, _size144);
+            this->departed.resize(_size144);
+            uint32_t _i148;
+            for (_i148 = 0; _i148 < _size144; ++_i148)
             {
-              xfer += this->departed[_i128].read(iprot);
+              xfer += this->departed[_i148].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4045,10 +4621,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<TargetRecord> ::const_iterator _iter129;
-    for (_iter129 = this->records.begin(); _iter129 != this->records.end(); ++_iter129)
+    std::vector<TargetRecord> ::const_iterator _iter149;
+    for (_iter149 = this->records.begin(); _iter149 != this->records.end(); ++_iter149)
     {
-      xfer += (*_iter129).write(oprot);
+      xfer += (*_iter149).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4058,10 +4634,10 @@
     xfer += oprot->writeFieldBegin("departed", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->departed.size()));
-      std::vector<TargetRecord> ::const_iterator _iter130;
-      for (_iter130 = this->departed.begin(); _iter130 != this->departed.end(); ++_iter130)
+      std::vector<TargetRecord> ::const_iterator _iter150;
+      for (_iter150 = this->departed.begin(); _iter150 != this->departed.end(); ++_iter150)
       {
-        xfer += (*_iter130).write(oprot);
+        xfer += (*_iter150).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -4081,19 +4657,19 @@
   swap(a.__isset, b.__isset);
 }
 
-TargetUpdate::TargetUpdate(const TargetUpdate& other131) {
-  base_revision = other131.base_revision;
-  revision = other131.revision;
-  records = other131.records;
-  departed = other131.departed;
-  __isset = other131.__isset;
+TargetUpdate::TargetUpdate(const TargetUpdate& other151) {
+  base_revision = other151.base_revision;
+  revision = other151.revision;
+  records = other151.records;
+  departed = other151.departed;
+  __isset = other151.__isset;
 }
-TargetUpdate& TargetUpdate::operator=(const TargetUpdate& other132) {
-  base_revision = other132.base_revision;
-  revision = other132.revision;
-  records = other132.records;
-  departed = other132.departed;
-  __isset = other132.__isset;
+TargetUpdate& TargetUpdate::operator=(const TargetUpdate& other152) {
+  base_revision = other152.base_revision;
+  revision = other152.revision;
+  records = other152.records;
+  departed = other152.departed;
+  __isset = other152.__isset;
   return *this;
 }
 
@@ -4181,6 +4757,16 @@
 __isset.load_notice = true;
 }
 
+void PeerBody::__set_token_request(const TokenRequest& val) {
+  this->token_request = val;
+__isset.token_request = true;
+}
+
+void PeerBody::__set_token_grant(const TokenGrant& val) {
+  this->token_grant = val;
+__isset.token_grant = true;
+}
+
 uint32_t PeerBody::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
@@ -4330,6 +4916,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->token_request.read(iprot);
+          this->__isset.token_request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->token_grant.read(iprot);
+          this->__isset.token_grant = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4427,6 +5029,16 @@
     xfer += this->load_notice.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.token_request) {
+    xfer += oprot->writeFieldBegin("token_request", ::apache::thrift::protocol::T_STRUCT, 17);
+    xfer += this->token_request.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.token_grant) {
+    xfer += oprot->writeFieldBegin("token_grant", ::apache::thrift::protocol::T_STRUCT, 18);
+    xfer += this->token_grant.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4450,46 +5062,52 @@
   swap(a.introduction, b.introduction);
   swap(a.target_update, b.target_update);
   swap(a.load_notice, b.load_notice);
+  swap(a.token_request, b.token_request);
+  swap(a.token_grant, b.token_grant);
   swap(a.__isset, b.__isset);
 }
 
-PeerBody::PeerBody(const PeerBody& other133) {
-  heartbeat = other133.heartbeat;
-  document_request = other133.document_request;
-  document_reply = other133.document_reply;
-  grant_request = other133.grant_request;
-  grant_reply = other133.grant_reply;
-  seal_request = other133.seal_request;
-  seal_reply = other133.seal_reply;
-  outcome_notice = other133.outcome_notice;
-  crash_evidence = other133.crash_evidence;
-  error = other133.error;
-  probe_notice = other133.probe_notice;
-  domain_report = other133.domain_report;
-  join_request = other133.join_request;
-  introduction = other133.introduction;
-  target_update = other133.target_update;
-  load_notice = other133.load_notice;
-  __isset = other133.__isset;
-}
-PeerBody& PeerBody::operator=(const PeerBody& other134) {
-  heartbeat = other134.heartbeat;
-  document_request = other134.document_request;
-  document_reply = other134.document_reply;
-  grant_request = other134.grant_request;
-  grant_reply = other134.grant_reply;
-  seal_request = other134.seal_request;
-  seal_reply = other134.seal_reply;
-  outcome_notice = other134.outcome_notice;
-  crash_evidence = other134.crash_evidence;
-  error = other134.error;
-  probe_notice = other134.probe_notice;
-  domain_report = other134.domain_report;
-  join_request = other134.join_request;
-  introduction = other134.introduction;
-  target_update = other134.target_update;
-  load_notice = other134.load_notice;
-  __isset = other134.__isset;
+PeerBody::PeerBody(const PeerBody& other153) {
+  heartbeat = other153.heartbeat;
+  document_request = other153.document_request;
+  document_reply = other153.document_reply;
+  grant_request = other153.grant_request;
+  grant_reply = other153.grant_reply;
+  seal_request = other153.seal_request;
+  seal_reply = other153.seal_reply;
+  outcome_notice = other153.outcome_notice;
+  crash_evidence = other153.crash_evidence;
+  error = other153.error;
+  probe_notice = other153.probe_notice;
+  domain_report = other153.domain_report;
+  join_request = other153.join_request;
+  introduction = other153.introduction;
+  target_update = other153.target_update;
+  load_notice = other153.load_notice;
+  token_request = other153.token_request;
+  token_grant = other153.token_grant;
+  __isset = other153.__isset;
+}
+PeerBody& PeerBody::operator=(const PeerBody& other154) {
+  heartbeat = other154.heartbeat;
+  document_request = other154.document_request;
+  document_reply = other154.document_reply;
+  grant_request = other154.grant_request;
+  grant_reply = other154.grant_reply;
+  seal_request = other154.seal_request;
+  seal_reply = other154.seal_reply;
+  outcome_notice = other154.outcome_notice;
+  crash_evidence = other154.crash_evidence;
+  error = other154.error;
+  probe_notice = other154.probe_notice;
+  domain_report = other154.domain_report;
+  join_request = other154.join_request;
+  introduction = other154.introduction;
+  target_update = other154.target_update;
+  load_notice = other154.load_notice;
+  token_request = other154.token_request;
+  token_grant = other154.token_grant;
+  __isset = other154.__isset;
   return *this;
 }
 
@@ -4584,13 +5202,13 @@
   swap(a.body, b.body);
 }
 
-PeerMessage::PeerMessage(const PeerMessage& other135) {
-  correlation = other135.correlation;
-  body = other135.body;
+PeerMessage::PeerMessage(const PeerMessage& other155) {
+  correlation = other155.correlation;
+  body = other155.body;
 }
-PeerMessage& PeerMessage::operator=(const PeerMessage& other136) {
-  correlation = other136.correlation;
-  body = other136.body;
+PeerMessage& PeerMessage::operator=(const PeerMessage& other156) {
+  correlation = other156.correlation;
+  body = other156.body;
   return *this;
 }
 }} // namespace
--- a/Libraries/LibPeer/Generated/Peer_types.h
+++ b/Libraries/LibPeer/Generated/Peer_types.h
@@ -134,6 +134,14 @@
 
 class CrashNotice;
 
+class TokenRequest;
+
+class TokenGrant;
+
+class EvacuationList;
+
+class ColdTarget;
+
 class LoadNotice;
 
 class TargetUpdate;
@@ -1592,11 +1600,212 @@
 
 std::ostream& operator<<(std::ostream& out, const CrashNotice& obj);
 
+
+class TokenRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  TokenRequest(const TokenRequest&);
+  TokenRequest& operator=(const TokenRequest&);
+  TokenRequest() noexcept
+               : account(),
+                 wanted(0),
+                 configuration(0) {
+  }
+
+  virtual ~TokenRequest() noexcept;
+  std::string account;
+  int32_t wanted;
+  int64_t configuration;
+
+  void __set_account(const std::string& val);
+
+  void __set_wanted(const int32_t val);
+
+  void __set_configuration(const int64_t val);
+
+  bool operator == (const TokenRequest & rhs) const
+  {
+    if (!(account == rhs.account))
+      return false;
+    if (!(wanted == rhs.wanted))
+      return false;
+    if (!(configuration == rhs.configuration))
+      return false;
+    return true;
+  }
+  bool operator != (const TokenRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TokenRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+};
+
+void swap(TokenRequest &a, TokenRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const TokenRequest& obj);
+
+typedef struct _TokenGrant__isset {
+  _TokenGrant__isset() : retry_after_ms(false) {}
+  bool retry_after_ms :1;
+} _TokenGrant__isset;
+
+class TokenGrant : public virtual ::apache::thrift::TBase {
+ public:
+
+  TokenGrant(const TokenGrant&);
+  TokenGrant& operator=(const TokenGrant&);
+  TokenGrant() noexcept
+             : account(),
+               granted(0),
+               lifetime_ms(0),
+               retry_after_ms(0) {
+  }
+
+  virtual ~TokenGrant() noexcept;
+  std::string account;
+  int32_t granted;
+  int32_t lifetime_ms;
+  int32_t retry_after_ms;
+
+  _TokenGrant__isset __isset;
+
+  void __set_account(const std::string& val);
+
+  void __set_granted(const int32_t val);
+
+  void __set_lifetime_ms(const int32_t val);
+
+  void __set_retry_after_ms(const int32_t val);
+
+  bool operator == (const TokenGrant & rhs) const
+  {
+    if (!(account == rhs.account))
+      return false;
+    if (!(granted == rhs.granted))
+      return false;
+    if (!(lifetime_ms == rhs.lifetime_ms))
+      return false;
+    if (__isset.retry_after_ms != rhs.__isset.retry_after_ms)
+      return false;
+    else if (__isset.retry_after_ms && !(retry_after_ms == rhs.retry_after_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const TokenGrant &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TokenGrant & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+};
+
+void swap(TokenGrant &a, TokenGrant &b);
+
+std::ostream& operator<<(std::ostream& out, const TokenGrant& obj);
+
+
+class EvacuationList : public virtual ::apache::thrift::TBase {
+ public:
+
+  EvacuationList(const EvacuationList&);
+  EvacuationList& operator=(const EvacuationList&);
+  EvacuationList() noexcept
+                 : revision(0) {
+  }
+
+  virtual ~EvacuationList() noexcept;
+  int64_t revision;
+  std::vector<std::string>  failure_domains;
+
+  void __set_revision(const int64_t val);
+
+  void __set_failure_domains(const std::vector<std::string> & val);
+
+  bool operator == (const EvacuationList & rhs) const
+  {
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(failure_domains == rhs.failure_domains))
+      return false;
+    return true;
+  }
+  bool operator != (const EvacuationList &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EvacuationList & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+};
+
+void swap(EvacuationList &a, EvacuationList &b);
+
+std::ostream& operator<<(std::ostream& out, const EvacuationList& obj);
+
+
+class ColdTarget : public virtual ::apache::thrift::TBase {
+ public:
+
+  ColdTarget(const ColdTarget&);
+  ColdTarget& operator=(const ColdTarget&);
+  ColdTarget() noexcept
+             : target(),
+               started_at_ms(0),
+               left_ms(0) {
+  }
+
+  virtual ~ColdTarget() noexcept;
+  std::string target;
+  int64_t started_at_ms;
+  int32_t left_ms;
+
+  void __set_target(const std::string& val);
+
+  void __set_started_at_ms(const int64_t val);
+
+  void __set_left_ms(const int32_t val);
+
+  bool operator == (const ColdTarget & rhs) const
+  {
+    if (!(target == rhs.target))
+      return false;
+    if (!(started_at_ms == rhs.started_at_ms))
+      return false;
+    if (!(left_ms == rhs.left_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const ColdTarget &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ColdTarget & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+};
+
+void swap(ColdTarget &a, ColdTarget &b);
+
+std::ostream& operator<<(std::ostream& out, const ColdTarget& obj);
+
 typedef struct _LoadNotice__isset {
-  _LoadNotice__isset() : outcomes(false), leaving(false), crashes(false) {}
+  _LoadNotice__isset() : outcomes(false), leaving(false), crashes(false), cold(false), evacuations(false) {}
   bool outcomes :1;
   bool leaving :1;
   bool crashes :1;
+  bool cold :1;
+  bool evacuations :1;
 } _LoadNotice__isset;
 
 class LoadNotice : public virtual ::apache::thrift::TBase {
@@ -1612,6 +1821,8 @@
   std::vector<ObservedOutcomes>  outcomes;
   std::vector<LeavingTarget>  leaving;
   CrashNotice crashes;
+  std::vector<ColdTarget>  cold;
+  EvacuationList evacuations;
 
   _LoadNotice__isset __isset;
 
@@ -1623,6 +1834,10 @@
 
   void __set_crashes(const CrashNotice& val);
 
+  void __set_cold(const std::vector<ColdTarget> & val);
+
+  void __set_evacuations(const EvacuationList& val);
+
   bool operator == (const LoadNotice & rhs) const
   {
     if (!(loads == rhs.loads))
@@ -1639,6 +1854,14 @@
       return false;
     else if (__isset.crashes && !(crashes == rhs.crashes))
       return false;
+    if (__isset.cold != rhs.__isset.cold)
+      return false;
+    else if (__isset.cold && !(cold == rhs.cold))
+      return false;
+    if (__isset.evacuations != rhs.__isset.evacuations)
+      return false;
+    else if (__isset.evacuations && !(evacuations == rhs.evacuations))
+      return false;
     return true;
   }
   bool operator != (const LoadNotice &rhs) const {
@@ -1717,7 +1940,7 @@
 std::ostream& operator<<(std::ostream& out, const TargetUpdate& obj);
 
 typedef struct _PeerBody__isset {
-  _PeerBody__isset() : heartbeat(false), document_request(false), document_reply(false), grant_request(false), grant_reply(false), seal_request(false), seal_reply(false), outcome_notice(false), crash_evidence(false), error(false), probe_notice(false), domain_report(false), join_request(false), introduction(false), target_update(false), load_notice(false) {}
+  _PeerBody__isset() : heartbeat(false), document_request(false), document_reply(false), grant_request(false), grant_reply(false), seal_request(false), seal_reply(false), outcome_notice(false), crash_evidence(false), error(false), probe_notice(false), domain_report(false), join_request(false), introduction(false), target_update(false), load_notice(false), token_request(false), token_grant(false) {}
   bool heartbeat :1;
   bool document_request :1;
   bool document_reply :1;
@@ -1734,6 +1957,8 @@
   bool introduction :1;
   bool target_update :1;
   bool load_notice :1;
+  bool token_request :1;
+  bool token_grant :1;
 } _PeerBody__isset;
 
 class PeerBody : public virtual ::apache::thrift::TBase {
@@ -1761,6 +1986,8 @@
   Introduction introduction;
   TargetUpdate target_update;
   LoadNotice load_notice;
+  TokenRequest token_request;
+  TokenGrant token_grant;
 
   _PeerBody__isset __isset;
 
@@ -1796,6 +2023,10 @@
 
   void __set_load_notice(const LoadNotice& val);
 
+  void __set_token_request(const TokenRequest& val);
+
+  void __set_token_grant(const TokenGrant& val);
+
   bool operator == (const PeerBody & rhs) const
   {
     if (__isset.heartbeat != rhs.__isset.heartbeat)
@@ -1862,6 +2093,14 @@
       return false;
     else if (__isset.load_notice && !(load_notice == rhs.load_notice))
       return false;
+    if (__isset.token_request != rhs.__isset.token_request)
+      return false;
+    else if (__isset.token_request && !(token_request == rhs.token_request))
+      return false;
+    if (__isset.token_grant != rhs.__isset.token_grant)
+      return false;
+    else if (__isset.token_grant && !(token_grant == rhs.token_grant))
+      return false;
     return true;
   }
   bool operator != (const PeerBody &rhs) const {
--- a/Libraries/LibPeer/Peer.thrift
+++ b/Libraries/LibPeer/Peer.thrift
@@ -215,6 +215,38 @@
   3: optional list<RequestAnswer> answers
 }
 
+// Request for tokens of a client account, sent to the owner of its allotment.
+struct TokenRequest {
+  1: required string account
+  // Tokens that the sender could use now.
+  2: required i32 wanted
+  // The sender's configuration; an owner with another one grants by its own.
+  3: required i64 configuration
+}
+
+// Tokens granted from an allotment. They are void when their lifetime is over.
+struct TokenGrant {
+  1: required string account
+  2: required i32 granted
+  3: required i32 lifetime_ms
+  // Time after which a token will be available; only when none was granted.
+  4: optional i32 retry_after_ms
+}
+
+// Failure domains whose targets must receive nothing, as of a revision of the
+// platform's store.
+struct EvacuationList {
+  1: required i64 revision
+  2: required list<string> failure_domains
+}
+
+// Cold target that this host has observed.
+struct ColdTarget {
+  1: required string target
+  2: required i64 started_at_ms
+  3: required i32 left_ms
+}
+
 // Loads and results that a host has observed since its last notice, sent to the
 // hosts of its failure domain.
 struct LoadNotice {
@@ -225,6 +257,8 @@
   // rather than a message, because hosts of earlier versions refuse unknown
   // messages.
   4: optional CrashNotice crashes
+  5: optional list<ColdTarget> cold
+  6: optional EvacuationList evacuations
 }
 
 // Delta of the targets between two revisions; with base revision 0, the complete
@@ -254,6 +288,8 @@
   14: Introduction introduction
   15: TargetUpdate target_update
   16: LoadNotice load_notice
+  17: TokenRequest token_request
+  18: TokenGrant token_grant
 }
 
 // A correlation of 0 marks a message that expects no reply; a reply carries the
