Gateway: Check the keys of client accounts

Change: a configuration is decoded into accounts with an index of digests of their keys. A request on a route that is not public needs a known key, 401 otherwise, before anything else is done for it. The key is dropped once it has been checked and is removed from what targets get; they get the name of the account, whatever the caller sent. The priority of an account goes before that of its route. Tokens of allotments are taken and returned through hooks, which are not set yet. Without accounts nothing changes.

Tested: TestLibGateway, TestPlatform and TestGateway; the new tests name what they guard against.

--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -18,6 +18,9 @@
   std::string Path;
   /// Time that the caller waits from now; unset when the caller names no limit.
   std::optional<Duration> TimeLeft;
+  /// Key of a client account; empty when the caller sent none. It must not be
+  /// logged.
+  std::string AccessKey;
 };
 
 /// What the sender of an answer says about itself, in an answer of any kind.
--- a/Services/Gateway/GatewayDependencies.h
+++ b/Services/Gateway/GatewayDependencies.h
@@ -35,6 +35,13 @@
   MessageMemory &Messages;
   /// Returns the number of hosts that share the budgets of the fleet.
   std::function<std::size_t()> BudgetHostCount;
+  /// Takes a token from the allotment of an account. Returns nothing if it got
+  /// one, otherwise the time after which there will be one. Unset where no
+  /// allotments are enforced.
+  std::function<Awaitable<std::optional<Duration>>(const ClientAccount &)>
+      AcquireToken = {};
+  /// Returns the token of a request that was refused for another reason.
+  std::function<void(const AccountName &)> ReturnToken = {};
 };
 
 } // namespace comfreyrill
--- a/Services/Gateway/RequestExecution.cpp
+++ b/Services/Gateway/RequestExecution.cpp
@@ -73,6 +73,8 @@
       findRoute(*CurrentConfiguration, Metadata.Host, Metadata.Path);
   if (SelectedRoute == nullptr)
     co_return refuse(http::status::not_found, "no_route", std::nullopt);
+  if (auto Rejection = co_await authorizeCaller())
+    co_return std::move(*Rejection);
   const ServiceName *Picked =
       chooseService(*SelectedRoute, Dependencies.Generator);
   if (Picked == nullptr)
@@ -89,6 +91,27 @@
   co_return co_await execute(*SelectedRoute);
 }
 
+Awaitable<std::optional<HttpResponse>> RequestExecution::authorizeCaller() {
+  const Authorization Checked =
+      authorize(*CurrentConfiguration, *SelectedRoute, Metadata.AccessKey);
+  Metadata.AccessKey.clear();
+  if (Checked.Verdict != AuthorizationVerdict::Allowed)
+    co_return refuse(http::status::unauthorized,
+                     Checked.Verdict == AuthorizationVerdict::MissingKey
+                         ? "missing_key"
+                         : "unknown_key",
+                     std::nullopt);
+  Account = Checked.Account;
+  if (Account == nullptr || Account->Rate <= 0 || !Dependencies.AcquireToken)
+    co_return std::nullopt;
+  const auto UntilToken = co_await Dependencies.AcquireToken(*Account);
+  if (UntilToken)
+    co_return refuse(http::status::too_many_requests, "allotment_used_up",
+                     *UntilToken);
+  HoldsToken = true;
+  co_return std::nullopt;
+}
+
 Awaitable<HttpResponse> RequestExecution::execute(const Route &Matched) {
   // The last attempt whose request may have run. Once there is one, the
   // response must not claim that the request has not run.
@@ -183,6 +206,8 @@
 // one has tried. It must wait for a pause only if all targets are paused,
 // whatever has ended this request.
 HttpResponse RequestExecution::refuseNotRun() {
+  if (HoldsToken && Dependencies.ReturnToken)
+    Dependencies.ReturnToken(Account->Name);
   if (QuarantineLeft)
     return refuse(http::status::service_unavailable, refusalCauseName(Refusal),
                   QuarantineLeft);
@@ -384,7 +409,7 @@
   Input.Waited = Now - ReceivedAt;
   Input.LatencyObjective = SelectedRoute->LatencyObjective;
   Input.TimeLeft = Deadline - Now;
-  Input.Priority = SelectedRoute->Priority;
+  Input.Priority = effectivePriority(*SelectedRoute, Account);
   return decideAdmission(Input);
 }
 
@@ -404,8 +429,12 @@
         SignalSource::Answer);
   };
   // The body is lent to the attempt, because it may be large.
-  HttpRequest Sent = platform::encodeAttempt(Request, std::move(Request.body()),
-                                             Id, Deadline - Begin);
+  std::optional<AccountName> ForwardedAccount;
+  if (CurrentConfiguration->Accounts)
+    ForwardedAccount = Account == nullptr ? AccountName() : Account->Name;
+  HttpRequest Sent =
+      platform::encodeAttempt(Request, std::move(Request.body()), Id,
+                              Deadline - Begin, ForwardedAccount);
   auto Answer = co_await ActiveConnection->exchange(
       Sent, answerLimits(), Deadline, [&](const HttpResponse &Response) {
         RecordSignals(Response);
@@ -516,6 +545,9 @@
       .field("route", SelectedRoute == nullptr
                           ? std::string_view("")
                           : std::string_view(SelectedRoute->Name))
+      .field("account", Account == nullptr
+                            ? std::string_view("")
+                            : std::string_view(Account->Name.Value))
       .field("configuration",
              CurrentConfiguration ? CurrentConfiguration->Version.Value : 0)
       .field("status", std::uint64_t{Status})
--- a/Services/Gateway/RequestExecution.h
+++ b/Services/Gateway/RequestExecution.h
@@ -6,6 +6,7 @@
 
 #include <LibGateway/Admission.h>
 #include <LibGateway/Attempt.h>
+#include <LibGateway/Authorization.h>
 #include <LibGateway/Exchange.h>
 #include <LibHttp/HttpServer.h>
 
@@ -37,6 +38,9 @@
   };
 
   Awaitable<HttpResponse> execute(const Route &Matched);
+  /// Checks the caller's key and takes a token from the allotment of its
+  /// account. Returns a response if the request must not run.
+  Awaitable<std::optional<HttpResponse>> authorizeCaller();
   /// Returns true if the request may have another attempt. Every attempt but
   /// the first takes from the retry budget.
   bool mayBeginAttempt();
@@ -97,6 +101,9 @@
   TimePoint Deadline;
   std::shared_ptr<const Configuration> CurrentConfiguration;
   const Route *SelectedRoute = nullptr;
+  /// The account of the caller, owned by the configuration.
+  const ClientAccount *Account = nullptr;
+  bool HoldsToken = false;
   ServiceName Service;
   std::string HealthPath;
   std::set<TargetId> TriedTargets;
--- a/Tests/Gateway/TestRequestExecution.cpp
+++ b/Tests/Gateway/TestRequestExecution.cpp
@@ -286,6 +286,111 @@
   EXPECT_EQ(Only.Runs, 1);
 }
 
+/// Adds two accounts to a configuration.
+void addAccounts(Configuration &Made) {
+  Made.Accounts = {{AccountName("alder"), std::nullopt, 100, 10},
+                   {AccountName("birch"), 2, 0, 0}};
+  EXPECT_TRUE(addKey(Made.Keys, "key-of-alder", 0));
+  EXPECT_TRUE(addKey(Made.Keys, "key-of-birch", 1));
+}
+
+// Guards against a key that reaches a target, an account that the caller chose
+// itself, and requests without a key that run.
+TEST_F(RequestExecutionTest, TargetsLearnTheAccountAndNeverTheKey) {
+  configure(ExecutionSemantics::AtMostOnce);
+  Configuration Changed = *CurrentState.configuration();
+  Changed.Version.Value += 1;
+  addAccounts(Changed);
+  CurrentState.applyConfiguration(Changed, "", "test");
+  std::vector<std::string> Received;
+  FakeTarget &Only =
+      addTarget([&](const HttpRequest &Request) -> Awaitable<HttpResponse> {
+        for (const auto &Field : Request)
+          EXPECT_EQ(std::string(Field.value()).find("key-of"),
+                    std::string::npos);
+        Received.emplace_back(Request["Tenant"]);
+        co_return signedAnswer(Request, "whole");
+      });
+  const auto Send = [&](const std::string &Key) {
+    HttpRequest Request(http::verb::get, "/x/1", 11);
+    Request.set(http::field::host, "a.example");
+    Request.set("Request-Id", "r-1");
+    Request.insert("Tenant", "forged");
+    Request.insert("Tenant", "twice");
+    if (!Key.empty())
+      Request.set("X-Api-Key", Key);
+    Answer.reset();
+    const auto Execution = std::make_shared<RequestExecution>(
+        Dependencies, Prober, *Quarantine, std::move(Request), "192.0.2.1");
+    asio::co_spawn(
+        Loop,
+        [this, Execution]() -> Awaitable<void> {
+          Answer = co_await Execution->run();
+        },
+        asio::detached);
+    return finish().result();
+  };
+  EXPECT_EQ(Send(""), http::status::unauthorized);
+  EXPECT_EQ(Send("key-of-nobody"), http::status::unauthorized);
+  EXPECT_EQ(Only.Runs, 0);
+  EXPECT_EQ(Send("key-of-alder"), http::status::ok);
+  EXPECT_EQ(Send("key-of-birch"), http::status::ok);
+  EXPECT_EQ(Received, (std::vector<std::string>{"alder", "birch"}));
+
+  // A public route needs no key, and a forged account is removed there, too.
+  Changed.Version.Value += 1;
+  Changed.Routes.front().IsPublic = true;
+  CurrentState.applyConfiguration(Changed, "", "test");
+  EXPECT_EQ(Send(""), http::status::ok);
+  EXPECT_EQ(Send("key-of-nobody"), http::status::ok);
+  EXPECT_EQ(Received.back(), "");
+}
+
+// Guards against requests beyond an allotment that run, and against tokens that
+// are lost with requests that were refused for another reason.
+TEST_F(RequestExecutionTest, AllotmentsAreEnforcedAndTokensReturned) {
+  configure(ExecutionSemantics::AtMostOnce);
+  Configuration Changed = *CurrentState.configuration();
+  Changed.Version.Value += 1;
+  addAccounts(Changed);
+  Changed.Routes.front().IsPublic = false;
+  CurrentState.applyConfiguration(Changed, "", "test");
+  int Tokens = 1;
+  Dependencies.AcquireToken =
+      [&](const ClientAccount &Holder) -> Awaitable<std::optional<Duration>> {
+    EXPECT_EQ(Holder.Name, AccountName("alder"));
+    if (Tokens == 0)
+      co_return Duration(250ms);
+    --Tokens;
+    co_return std::nullopt;
+  };
+  Dependencies.ReturnToken = [&](const AccountName &) { ++Tokens; };
+  const auto Send = [&] {
+    Answer.reset();
+    HttpRequest Request(http::verb::get, "/x/1", 11);
+    Request.set(http::field::host, "a.example");
+    Request.set("Request-Id", "r-1");
+    Request.set("X-Api-Key", "key-of-alder");
+    const auto Execution = std::make_shared<RequestExecution>(
+        Dependencies, Prober, *Quarantine, std::move(Request), "192.0.2.1");
+    asio::co_spawn(
+        Loop,
+        [this, Execution]() -> Awaitable<void> {
+          Answer = co_await Execution->run();
+        },
+        asio::detached);
+    return finish();
+  };
+  EXPECT_EQ(Send().result(), http::status::service_unavailable);
+  EXPECT_EQ(Tokens, 1);
+  FakeTarget &Only = addTarget(answerWhole);
+  EXPECT_EQ(Send().result(), http::status::ok);
+  const HttpResponse Refusal = Send();
+  EXPECT_EQ(Refusal.result(), http::status::too_many_requests);
+  EXPECT_EQ(Refusal[http::field::retry_after], "0.250");
+  EXPECT_EQ(Only.Runs, 1);
+}
+
 // Guards against refusing a request that another target can serve.
 TEST_F(RequestExecutionTest, ShedRequestIsRetriedAtAnotherTarget) {
   configure(ExecutionSemantics::AtMostOnce);
--- a/Tests/platform/TestStoreCodec.cpp
+++ b/Tests/platform/TestStoreCodec.cpp
@@ -48,6 +48,51 @@
     EXPECT_FALSE(decodeConfiguration(Text)) << Text;
 }
 
+std::string withAccounts(const std::string &Accounts) {
+  return R"({"version":"r8","routes":[
+    {"name":"r1","host":"a.example","pathPrefix":"/x/","kind":"read_only",
+     "timeoutS":2,"service":"stock","public":true}],
+    "services":[],"tenants":)" +
+         Accounts + "}";
+}
+
+// Guards against accounts that are lost on the way from the operators: requests
+// would run without a key.
+TEST(StoreCodec, DecodesAccounts) {
+  const auto Read = decodeConfiguration(withAccounts(
+      R"([{"name":"alder","apiKeys":["k1","k2"],"priority":1,"ratePerS":300,
+           "burst":30},{"name":"birch","apiKeys":["k3"]},{"name":"cedar"}])"));
+  ASSERT_TRUE(Read);
+  const Configuration &Value = Read.value();
+  EXPECT_TRUE(Value.Routes.front().IsPublic);
+  ASSERT_TRUE(Value.Accounts && Value.Accounts->size() == 3);
+  EXPECT_EQ(Value.Accounts->front().Name, AccountName("alder"));
+  EXPECT_EQ(Value.Accounts->front().Priority, 1U);
+  EXPECT_DOUBLE_EQ(Value.Accounts->front().Rate, 300);
+  EXPECT_DOUBLE_EQ(Value.Accounts->front().Burst, 30);
+  EXPECT_FALSE((*Value.Accounts)[1].Priority);
+  EXPECT_EQ(findAccount(Value.Keys, "k2"), 0U);
+  EXPECT_EQ(findAccount(Value.Keys, "k3"), 1U);
+  EXPECT_EQ(findAccount(Value.Keys, "k4"), std::nullopt);
+  EXPECT_EQ(findAccount(Value.Keys, ""), std::nullopt);
+  EXPECT_FALSE(decodeConfiguration(ConfigurationText).value().Accounts);
+}
+
+// Guards against applying accounts whose keys are ambiguous, and against keys
+// in error messages.
+TEST(StoreCodec, InvalidAccountsAreRejected) {
+  for (const char *Accounts :
+       {R"([{"name":"a","apiKeys":["same"]},{"name":"b","apiKeys":["same"]}])",
+        R"([{"name":"a","apiKeys":["same","same"]}])",
+        R"([{"name":"","apiKeys":["same"]}])", R"([{"apiKeys":["same"]}])",
+        R"([{"name":"a","apiKeys":["same",""]}])",
+        R"([{"name":"a","apiKeys":["same"],"ratePerS":-1}])", R"({})"}) {
+    const auto Read = decodeConfiguration(withAccounts(Accounts));
+    ASSERT_FALSE(Read) << Accounts;
+    EXPECT_EQ(Read.error().Message.find("same"), std::string::npos);
+  }
+}
+
 StoreObject entry(std::string Specification) {
   return {"i-1", {5}, std::move(Specification)};
 }
