LibGateway: Probe targets with an idle connection first

What callers saw: 1.6 new connections for each request in a fleet of 121 hosts and 220 targets; each handshake holds a slot of the target for a moment.

Cause: a host picked targets at random in its subset of 24 local and 32 remote targets per service, so with a few requests per second it used most connections about once before they expired.

Change: among targets to which nothing else makes a difference, those with an idle connection are probed first; busy or slow ones lose that preference, so that a host opens further connections when its few targets are not enough. The pool forgets an endpoint when its last idle connection is taken.

Tested: TestLibGateway; TargetsWithAnIdleConnectionAreProbedFirst counts new connections.

--- a/Libraries/LibGateway/TargetSelection.cpp
+++ b/Libraries/LibGateway/TargetSelection.cpp
@@ -26,6 +26,11 @@
 // needs a new connection.
 constexpr double OutsideLocalSubsetProbeFactor = 1.4;
 constexpr double OutsideRemoteSubsetProbeFactor = 2.6;
+// Load that this answers: few requests per host and many targets. Each host
+// would open connections to all targets and use most of them once. Targets to
+// which it has an idle connection are probed first, so that each host works
+// with few targets, and with further ones when these are busy or slow.
+constexpr double NewConnectionProbeFactor = 1.5;
 // An idle target at its usual speed has a latency factor of 1.
 constexpr double GoodEnoughLatencyFactor = 1.3;
 
@@ -114,9 +119,10 @@
   std::vector<Ranked> Ranking;
   for (std::size_t Index = 0; Index < Candidates.size(); ++Index) {
     const TargetCandidate &Candidate = Candidates[Index];
-    const double Cost = cachedLatencyFactor(Candidate) *
-                        probeLocalityFactor(Candidate) *
-                        JitterFactor(Generator);
+    const double Cost =
+        cachedLatencyFactor(Candidate) * probeLocalityFactor(Candidate) *
+        (Candidate.HasIdleConnection ? 1 : NewConnectionProbeFactor) *
+        JitterFactor(Generator);
     Ranking.push_back({{Candidate.IsSuspect, Cost}, Index});
   }
   const std::size_t SelectedCount = std::min(Count, Ranking.size());
--- a/Libraries/LibGateway/TargetSelection.h
+++ b/Libraries/LibGateway/TargetSelection.h
@@ -34,6 +34,8 @@
   std::uint32_t OwnInFlight = 0;
   /// Start of the target's process in Unix milliseconds.
   std::uint64_t StartedAtMilliseconds = 0;
+  /// This host has an idle connection to the target.
+  bool HasIdleConnection = true;
 };
 
 /// A candidate with the result of its probe.
--- a/Libraries/LibHttp/ConnectionPool.cpp
+++ b/Libraries/LibHttp/ConnectionPool.cpp
@@ -10,9 +10,13 @@
 Awaitable<Result<std::shared_ptr<HttpConnection>>>
 ConnectionPool::acquire(Endpoint Remote, TimePoint Deadline,
                         std::optional<RequestDigest> Request) {
-  if (const auto Position = Idle.find(Remote); Position != Idle.end())
-    if (auto Connection = takeIdle(Position->second, Request))
+  if (const auto Position = Idle.find(Remote); Position != Idle.end()) {
+    auto Connection = takeIdle(Position->second, Request);
+    if (Position->second.empty())
+      Idle.erase(Position);
+    if (Connection)
       co_return Connection;
+  }
   co_return co_await connect(std::move(Remote), Deadline);
 }
 
--- a/Libraries/LibHttp/ConnectionPool.h
+++ b/Libraries/LibHttp/ConnectionPool.h
@@ -23,6 +23,9 @@
   acquire(Endpoint Remote, TimePoint Deadline,
           std::optional<RequestDigest> Request = std::nullopt);
 
+  /// True if an idle connection to the endpoint may be reusable.
+  bool hasIdle(const Endpoint &Remote) const { return Idle.contains(Remote); }
+
   /// Returns a new connection established before the deadline.
   Awaitable<Result<std::shared_ptr<HttpConnection>>>
   connect(Endpoint Remote, TimePoint Deadline);
--- a/Services/Gateway/RequestExecution.cpp
+++ b/Services/Gateway/RequestExecution.cpp
@@ -271,6 +271,10 @@
   const std::size_t Allowed = acquireProbes(Demand, Candidates.size());
   if (Allowed == 0)
     co_return std::vector<ConnectedTarget>{};
+  const auto &Registered = Dependencies.CurrentState.targets().Targets;
+  for (TargetCandidate &Candidate : Candidates)
+    Candidate.HasIdleConnection = Dependencies.Pool.hasIdle(
+        Registered.at(Candidate.Id).Registration.Address);
   co_return co_await Prober.run(selectProbeCandidates(std::move(Candidates),
                                                       Allowed,
                                                       Dependencies.Generator),
--- a/Tests/LibGateway/TestTargetSelection.cpp
+++ b/Tests/LibGateway/TestTargetSelection.cpp
@@ -54,6 +54,30 @@
             "far");
 }
 
+// Guards against a host that opens a connection to each target and uses it
+// about once, and against one that keeps to its connections while their targets
+// are busy.
+TEST(TargetSelection, TargetsWithAnIdleConnectionAreProbedFirst) {
+  Random Generator(5);
+  const auto NewConnections = [&](const LoadReport &Connected) {
+    std::vector<TargetCandidate> Candidates;
+    for (int Index = 0; Index < 40; ++Index) {
+      Candidates.push_back(candidate("t" + std::to_string(Index)));
+      Candidates.back().HasIdleConnection = Index < 8;
+      if (Index < 8)
+        Candidates.back().LastLoad = Connected;
+    }
+    std::size_t Count = 0;
+    for (int Round = 0; Round < 100; ++Round)
+      for (const TargetCandidate &Selected :
+           selectProbeCandidates(Candidates, 3, Generator))
+        Count += Selected.HasIdleConnection ? 0 : 1;
+    return Count;
+  };
+  EXPECT_LT(NewConnections(load(0, 2)), 90U);
+  EXPECT_GT(NewConnections(load(2, 2, 2)), 240U);
+}
+
 // Guards against a new connection for nearly every probe in a fleet with
 // hundreds of targets, and against a subset that is kept while it is busy.
 TEST(TargetSelection, LocalTargetsOutsideTheSubsetAreProbedWhenItIsBusy) {
