LibHttp: Run idempotent requests of one connection concurrently

Callers that pipeline lookups waited for one after another. A poll set with EPOLLRDHUP notices callers that leave while bytes are unread. Without a predicate the sequential loop is used as before.

--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -1,8 +1,9 @@
 #include <LibHttp/HttpServer.h>
 
+#include "HttpServerSession.h"
+
 #include <LibCore/Listen.h>
 #include <algorithm>
-#include <optional>
 #include <sys/socket.h>
 
 namespace comfreyrill {
@@ -21,48 +22,10 @@
 
 } // namespace
 
-enum class SessionPhase { Idle, Reading, Handling, Writing, Discarding };
-
-struct HttpServer::Session : std::enable_shared_from_this<Session> {
-  explicit Session(TcpSocket Accepted) : Socket(std::move(Accepted)) {}
-
-  void enter(SessionPhase NewPhase, TimePoint Now) {
-    Phase = NewPhase;
-    PhaseSince = Now;
-  }
-
-  void close() {
-    boost::system::error_code Ignored;
-    Socket.close(Ignored);
-  }
-
-  /// Returns true if the socket holds bytes that the event loop has not read
-  /// yet. Closing the socket would then reset the connection and lose the
-  /// request.
-  bool hasUnreadBytes() {
-    char Byte = 0;
-    return ::recv(Socket.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT) >
-           0;
-  }
-
-  /// Returns true while no byte of the next request has arrived.
-  bool isIdle() {
-    return Phase == SessionPhase::Idle && Buffer.size() == 0 &&
-           (!Parser || !Parser->got_some()) && !hasUnreadBytes();
-  }
-
-  TcpSocket Socket;
-  std::string CallerAddress;
-  beast::flat_buffer Buffer{ReadBufferBytes};
-  /// Parser of the request that is being read.
-  std::optional<http::request_parser<http::string_body>> Parser;
-  SessionPhase Phase = SessionPhase::Idle;
-  TimePoint PhaseSince;
-  /// The caller may still be sending a request that was rejected.
-  bool HasUnreadRequest = false;
-  /// The request that is being read is not served.
-  bool IsRejected = false;
-};
+bool HttpServer::Session::hasUnreadBytes() {
+  char Byte = 0;
+  return ::recv(Socket.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
 
 void Disconnect::onOccurrence(std::function<void()> NewCallback) {
   Callback = std::move(NewCallback);
@@ -79,14 +42,20 @@
 HttpServer::HttpServer(const Executor &Context, const Clock &TimeSource,
                        HttpLimits Limits, Handler HandleRequest,
                        ErrorResponseFactory MakeErrorResponse,
-                       MessageMemory *Memory)
+                       MessageMemory *Memory,
+                       ConcurrencyPredicate MayRunConcurrently)
     : Context(Context), TimeSource(TimeSource), Limits(Limits),
       HandleRequest(std::move(HandleRequest)),
       MakeErrorResponse(std::move(MakeErrorResponse)), Memory(Memory),
-      Acceptor(Context), SweepTimer(Context) {}
+      MayRunConcurrently(std::move(MayRunConcurrently)), Acceptor(Context),
+      SweepTimer(Context) {}
 
 Result<void> HttpServer::listen(const Endpoint &Requested) {
   TRY(Local, listenOn(Acceptor, Requested));
+  if (MayRunConcurrently) {
+    HangUps = std::make_shared<HangUpWatcher>(Context);
+    TRY(HangUps->start());
+  }
   asio::co_spawn(
       Context, [Self = shared_from_this()] { return Self->accept(); },
       asio::detached);
@@ -115,19 +84,29 @@
 }
 
 std::size_t HttpServer::unfinishedRequests() const {
-  return static_cast<std::size_t>(
-      std::count_if(Sessions.begin(), Sessions.end(),
-                    [](const auto &Open) { return !Open->isIdle(); }));
+  std::size_t Unfinished = 0;
+  for (const auto &ActiveSession : Sessions) {
+    if (ActiveSession->isIdle())
+      continue;
+    const std::size_t Open = ActiveSession->Pipeline.Open.size();
+    const bool IsPartlyRead = Open > 0 && ActiveSession->hasPartialRequest();
+    Unfinished += std::max<std::size_t>(1, Open + (IsPartlyRead ? 1 : 0));
+  }
+  return Unfinished;
 }
 
 void HttpServer::closeIdleSessions() {
   for (const auto &ActiveSession : Sessions)
     if (ActiveSession->isIdle())
-      ActiveSession->close();
+      closeSession(ActiveSession);
 }
 
 void HttpServer::rejectUnreadRequests() {
   for (const auto &ActiveSession : Sessions) {
+    if (MayRunConcurrently) {
+      rejectPartialRequest(*ActiveSession);
+      continue;
+    }
     const bool IsReading = ActiveSession->Phase == SessionPhase::Idle ||
                            ActiveSession->Phase == SessionPhase::Reading;
     if (!IsReading || ActiveSession->isIdle() || ActiveSession->IsRejected)
@@ -142,7 +121,9 @@
   stopAccepting();
   SweepTimer.cancel();
   for (const auto &ActiveSession : Sessions)
-    ActiveSession->close();
+    closeSession(ActiveSession);
+  if (HangUps)
+    HangUps->close();
 }
 
 Awaitable<void> HttpServer::accept() {
@@ -169,10 +150,14 @@
     return; // The destructor of Accepted closes the connection.
   boost::system::error_code Ignored;
   Accepted.set_option(asio::ip::tcp::no_delay(true), Ignored);
-  auto ActiveSession = std::make_shared<Session>(std::move(Accepted));
+  auto ActiveSession = std::make_shared<Session>(std::move(Accepted), Memory);
   ActiveSession->CallerAddress = Caller.address().to_string();
   ActiveSession->enter(SessionPhase::Idle, TimeSource.now());
   Sessions.insert(ActiveSession);
+  if (MayRunConcurrently) {
+    servePipelined(ActiveSession);
+    return;
+  }
   asio::co_spawn(
       Context,
       [Self = shared_from_this(), ActiveSession] {
@@ -185,6 +170,10 @@
   while (ActiveSession->Socket.is_open() &&
          co_await serveRequest(*ActiveSession)) {
   }
+  co_await finish(ActiveSession);
+}
+
+Awaitable<void> HttpServer::finish(std::shared_ptr<Session> ActiveSession) {
   boost::system::error_code Ignored;
   ActiveSession->Socket.shutdown(TcpSocket::shutdown_send, Ignored);
   if (ActiveSession->HasUnreadRequest || ActiveSession->hasUnreadBytes())
@@ -220,10 +209,14 @@
         std::max<std::uint64_t>(ExpectedBytes, Parser.get().body().size());
     if (!Share.resize(HeldBytes + ActiveSession.Buffer.capacity()))
       co_return make_error_code(boost::system::errc::not_enough_memory);
-    if (ActiveSession.IsRejected)
+    if (ActiveSession.IsRejected || ActiveSession.Pipeline.IsReadingEnded)
       co_return make_error_code(boost::system::errc::operation_canceled);
     const auto [ReadError, ReadBytes] = co_await http::async_read_some(
-        ActiveSession.Socket, ActiveSession.Buffer, Parser, UseTuple);
+        ActiveSession.Socket, ActiveSession.Buffer, Parser,
+        asio::bind_cancellation_slot(ActiveSession.ReadCancellation.slot(),
+                                     UseTuple));
+    if (!ActiveSession.MessageSince && Parser.got_some())
+      ActiveSession.MessageSince = TimeSource.now();
     if (ReadError && ActiveSession.IsRejected)
       co_return make_error_code(boost::system::errc::operation_canceled);
     if (ReadError)
@@ -333,14 +326,26 @@
       });
 }
 
+bool HttpServer::isDiscardingOver(const Session &ActiveSession, TimePoint Now) {
+  return ActiveSession.Phase == SessionPhase::Discarding &&
+         Now - ActiveSession.PhaseSince > DiscardTime;
+}
+
 Awaitable<void> HttpServer::sweep() {
   while (true) {
     SweepTimer.expires_after(SweepInterval);
     const auto [Code] = co_await SweepTimer.async_wait(UseTuple);
-    if (Code || (IsStopping && Sessions.empty()))
+    if (Code || (IsStopping && Sessions.empty())) {
+      if (HangUps)
+        HangUps->close();
       co_return;
+    }
     const TimePoint Now = TimeSource.now();
     for (const auto &ActiveSession : Sessions) {
+      if (MayRunConcurrently) {
+        sweepPipelined(ActiveSession, Now);
+        continue;
+      }
       if (ActiveSession->Phase == SessionPhase::Idle &&
           ActiveSession->Buffer.size() > 0)
         ActiveSession->enter(SessionPhase::Reading, Now);
@@ -350,8 +355,7 @@
                           Age > Limits.MessageTime;
       const bool IsIdle =
           ActiveSession->Phase == SessionPhase::Idle && Age > Limits.IdleTime;
-      const bool IsDiscarded =
-          ActiveSession->Phase == SessionPhase::Discarding && Age > DiscardTime;
+      const bool IsDiscarded = isDiscardingOver(*ActiveSession, Now);
       if (IsSlow || IsIdle || IsDiscarded)
         ActiveSession->close();
     }
