--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -167,19 +167,21 @@
 }
 
 Awaitable<void> HttpServer::serve(std::shared_ptr<Session> ActiveSession) {
-  while (ActiveSession->Socket.is_open() &&
-         co_await serveRequest(*ActiveSession)) {
-  }
-  co_await finish(ActiveSession);
+  // With the co_await in the condition of the loop, GCC 12 lays out the frame
+  // of this coroutine in two different ways.
+  bool IsKept = true;
+  while (IsKept && ActiveSession->Socket.is_open())
+    IsKept = co_await serveRequest(*ActiveSession);
+  co_await finish(*ActiveSession);
 }
 
-Awaitable<void> HttpServer::finish(std::shared_ptr<Session> ActiveSession) {
+Awaitable<void> HttpServer::finish(Session &ActiveSession) {
   boost::system::error_code Ignored;
-  ActiveSession->Socket.shutdown(TcpSocket::shutdown_send, Ignored);
-  if (ActiveSession->HasUnreadRequest || ActiveSession->hasUnreadBytes())
-    co_await discardInput(*ActiveSession);
-  ActiveSession->close();
-  Sessions.erase(ActiveSession);
+  ActiveSession.Socket.shutdown(TcpSocket::shutdown_send, Ignored);
+  if (ActiveSession.HasUnreadRequest || ActiveSession.hasUnreadBytes())
+    co_await discardInput(ActiveSession);
+  ActiveSession.close();
+  Sessions.erase(ActiveSession.shared_from_this());
 }
 
 // The sweep closes the socket when the time is over.
@@ -215,8 +217,6 @@
         ActiveSession.Socket, ActiveSession.Buffer, Parser,
         asio::bind_cancellation_slot(ActiveSession.ReadCancellation.slot(),
                                      UseTuple));
-    if (!ActiveSession.MessageSince && Parser.got_some())
-      ActiveSession.MessageSince = TimeSource.now();
     if (ReadError && ActiveSession.IsRejected)
       co_return make_error_code(boost::system::errc::operation_canceled);
     if (ReadError)
--- a/Libraries/LibHttp/HttpServer.h
+++ b/Libraries/LibHttp/HttpServer.h
@@ -103,7 +103,7 @@
   Awaitable<void> serve(std::shared_ptr<Session> ActiveSession);
   /// Closes the sending side, and the connection when its input has been
   /// discarded.
-  Awaitable<void> finish(std::shared_ptr<Session> ActiveSession);
+  Awaitable<void> finish(Session &ActiveSession);
   Awaitable<bool> serveRequest(Session &ActiveSession);
   Awaitable<boost::system::error_code> readRequest(Session &ActiveSession,
                                                    MessageShare &Share);
--- a/Libraries/LibHttp/HttpServerPipeline.cpp
+++ b/Libraries/LibHttp/HttpServerPipeline.cpp
@@ -81,7 +81,7 @@
       Self->HangUps->forget(ActiveSession->Socket.native_handle());
     asio::co_spawn(
         Self->Context,
-        [Self, ActiveSession] { return Self->finish(ActiveSession); },
+        [Self, ActiveSession] { return Self->finish(*ActiveSession); },
         asio::detached);
   });
 }
@@ -249,6 +249,12 @@
 void HttpServer::sweepPipelined(const std::shared_ptr<Session> &ActiveSession,
                                 TimePoint Now) {
   Session &Active = *ActiveSession;
+  // As with sequential requests, the time of a message begins with the first
+  // sweep that finds bytes of it.
+  if (Active.IsReading && !Active.MessageSince &&
+      (Active.Buffer.size() > 0 ||
+       (Active.Parser && Active.Parser->got_some())))
+    Active.MessageSince = Now;
   const bool IsBusy = !Active.Pipeline.Open.empty() ||
                       Active.RunningHandlers > 0 || Active.IsWriting;
   const bool IsReadSlow = Active.IsReading && Active.MessageSince &&
--- a/Libraries/LibHttp/HttpServerSession.h
+++ b/Libraries/LibHttp/HttpServerSession.h
@@ -85,7 +85,7 @@
   bool IsWriting = false;
   bool IsFinishing = false;
   bool HasCallerLeft = false;
-  /// Set from the first byte of the message that is being read.
+  /// Set when bytes of the message that is being read have been found.
   std::optional<TimePoint> MessageSince;
   TimePoint WriteSince;
   /// Handlers that have not returned, including those of cancelled requests.
