Gateway: Run idempotent requests of a connection concurrently

Callers of lookups pipeline their requests. A request may run beside others if its route in the configuration in force is idempotent.

--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -3,6 +3,7 @@
 #include "MetricsListener.h"
 #include "RequestExecution.h"
 
+#include <LibGateway/RouteTable.h>
 #include <LibMembership/StoreRole.h>
 #include <platform/HttpCodec.h>
 
@@ -163,11 +164,12 @@
   HttpLimits SmallListenerLimits;
   SmallListenerLimits.Connections = SmallListenerConnections;
   const auto Serve = [&](std::string_view Name, const Endpoint &Address,
-                         HttpServer::Handler Handle,
-                         const HttpLimits &Limits) -> Result<void> {
+                         HttpServer::Handler Handle, const HttpLimits &Limits,
+                         HttpServer::ConcurrencyPredicate MayRunConcurrently =
+                             nullptr) -> Result<void> {
     const auto Server = std::make_shared<HttpServer>(
         Context, TimeSource, Limits, std::move(Handle), replyToMalformedRequest,
-        &Dependencies->Messages);
+        &Dependencies->Messages, std::move(MayRunConcurrently));
     TRY(Server->listen(Address));
     return Registry.add(std::string(Name), Server);
   };
@@ -176,7 +178,8 @@
       [this](HttpRequest Request, std::shared_ptr<Disconnect> Left) {
         return handleRequest(std::move(Request), std::move(Left));
       },
-      HttpLimits{}));
+      HttpLimits{},
+      [this](const HttpRequest &Request) { return isIdempotent(Request); }));
   TRY(Serve(
       "readiness", Configured.ReadinessAddress,
       [this](HttpRequest Request, std::shared_ptr<Disconnect>)
@@ -223,6 +226,16 @@
   co_return Response;
 }
 
+bool Gateway::isIdempotent(const HttpRequest &Request) const {
+  const auto Active = Dependencies->CurrentState.configuration();
+  if (!Active)
+    return false;
+  const RequestMetadata Metadata = platform::decodeRequestMetadata(Request);
+  const Route *Selected = findRoute(*Active, Metadata.Host, Metadata.Path);
+  return Selected != nullptr &&
+         Selected->Semantics == ExecutionSemantics::Idempotent;
+}
+
 HttpResponse Gateway::handleReadiness(const HttpRequest &Request) const {
   if (!platform::isReadinessRequest(Request))
     return notFound();
--- a/Services/Gateway/Gateway.h
+++ b/Services/Gateway/Gateway.h
@@ -37,6 +37,8 @@
   Result<void> listen();
   Awaitable<HttpResponse> handleRequest(HttpRequest Request,
                                         std::shared_ptr<Disconnect> CallerLeft);
+  /// Returns true if the route of the request allows it to run more than once.
+  bool isIdempotent(const HttpRequest &Request) const;
   HttpResponse handleReadiness(const HttpRequest &Request) const;
   HttpResponse handleDirectory(const HttpRequest &Request);
   HttpResponse handleMetrics();
