LibGateway: Expect the work time by route and service

Requests of different length share services (63 ms and 190 ms, 72 ms and 110 ms), so one mean per service is wrong for each of them: admission passes over free slots for the short ones and sends the long ones to targets at which they are late. WorkTimes keeps a mean per route of each service, at most 256, dropped with the routes. A route with few samples starts with the mean of the service (100 ms without one), but at most with half of its objective, and a mean without a sample for 10 s starts again: otherwise a mean above the time limit would refuse all requests that could correct it.

--- a/Services/Gateway/GatewayState.cpp
+++ b/Services/Gateway/GatewayState.cpp
@@ -76,6 +76,8 @@
   CurrentConfiguration =
       std::make_shared<const Configuration>(std::move(NewConfiguration));
   CompressedConfiguration = std::move(Compressed);
+  for (auto &[Name, Stats] : StatsByService)
+    forgetRemovedRoutes(Stats.Times, *CurrentConfiguration);
   return true;
 }
 
--- a/Services/Gateway/GatewayState.h
+++ b/Services/Gateway/GatewayState.h
@@ -6,6 +6,7 @@
 #include <LibGateway/RetryBudget.h>
 #include <LibGateway/TargetDirectory.h>
 #include <LibGateway/TargetSelection.h>
+#include <LibGateway/WorkTimes.h>
 #include <LibLog/RateLimitedLog.h>
 #include <LibRouting/Outlier.h>
 #include <LibRouting/TargetPause.h>
@@ -80,8 +81,7 @@
 /// Statistics of one service on this host.
 struct ServiceStats {
   RetryBudget RetryCounts;
-  /// Mean time that an idle target of usual speed needs for a request.
-  Duration WorkTime = std::chrono::milliseconds(100);
+  WorkTimes Times;
 };
 
 /// The configuration and the targets as one host knows them. The apply
--- a/Services/Gateway/RequestExecution.cpp
+++ b/Services/Gateway/RequestExecution.cpp
@@ -18,8 +18,6 @@
 constexpr std::array<ProbeDemand, 2> ProbesByRound{{{1, 3, 5}, {0, 5, 6}}};
 // A host gets a configuration within a second of reaching the store.
 constexpr Duration RetryWithoutConfiguration = std::chrono::milliseconds(300);
-// Weight of one request in the moving average of the work time of a service.
-constexpr double WorkTimeWeight = 0.05;
 constexpr std::uint64_t AnswerBytesMaximum = std::uint64_t{8} * 1024 * 1024;
 // Interval at which a request that is held for a pause looks for other targets,
 // which may have registered meanwhile.
@@ -449,11 +447,10 @@
   if (Report.Outcome == AttemptOutcome::Answered) {
     Dependencies.CurrentState.recordSuccess(Id);
     Dependencies.CurrentState.recordAnswer(Process, Begin);
-    ServiceStats &Stats = Dependencies.CurrentState.serviceStats(Service);
     const auto Work = std::chrono::duration_cast<Duration>(
         Elapsed / std::max(expectedLatencyFactor(Target.Candidate), 0.5));
-    Stats.WorkTime += std::chrono::duration_cast<Duration>(
-        (Work - Stats.WorkTime) * WorkTimeWeight);
+    recordWorkTime(Dependencies.CurrentState.serviceStats(Service).Times,
+                   *SelectedRoute, Work, Begin + Elapsed);
   } else if (Report.Outcome != AttemptOutcome::NotRun &&
              Report.Outcome != AttemptOutcome::Cancelled && !HasAskedForPause) {
     Dependencies.CurrentState.recordFailure(Id, TargetFailure::Attempt);
@@ -501,7 +498,8 @@
 }
 
 Duration RequestExecution::workTime() {
-  return Dependencies.CurrentState.serviceStats(Service).WorkTime;
+  return expectedWorkTime(Dependencies.CurrentState.serviceStats(Service).Times,
+                          *SelectedRoute, Dependencies.TimeSource.now());
 }
 
 void RequestExecution::logRequestEnd(unsigned Status,
