--- a/Libraries/LibGateway/Admission.cpp
+++ b/Libraries/LibGateway/Admission.cpp
@@ -13,15 +13,15 @@
 // under overload they get the slots that become free first.
 constexpr std::array<double, 3> SearchTimeShares{0.5, 0.35, 0.125};
 
-Duration maximumSearchTime(const AdmissionInput &Input) {
-  const std::size_t PriorityIndex =
-      std::min<std::size_t>(Input.Priority, SearchTimeShares.size() - 1);
-  return std::chrono::duration_cast<Duration>(Input.LatencyObjective *
-                                              SearchTimeShares[PriorityIndex]);
-}
-
 } // namespace
 
+Duration maximumSearchTime(Duration LatencyObjective, std::uint32_t Priority) {
+  const std::size_t Index =
+      std::min<std::size_t>(Priority, SearchTimeShares.size() - 1);
+  return std::chrono::duration_cast<Duration>(LatencyObjective *
+                                              SearchTimeShares[Index]);
+}
+
 // A request is never queued at a target: the queue would be served at the
 // reduced speed of a congested target, and a queued request cannot use slots
 // that become free at other targets.
@@ -30,7 +30,8 @@
   if (Input.HasFreeSlot && Expected <= Input.LatencyObjective &&
       Input.ExpectedTime <= Input.TimeLeft)
     return AdmissionDecision::Dispatch;
-  if (Input.Waited + SelectionRetryInterval < maximumSearchTime(Input) &&
+  if (Input.Waited + SelectionRetryInterval <
+          maximumSearchTime(Input.LatencyObjective, Input.Priority) &&
       SelectionRetryInterval < Input.TimeLeft)
     return AdmissionDecision::RetrySelection;
   // The free slot is used although the objective is missed: the time for
--- a/Libraries/LibGateway/Admission.h
+++ b/Libraries/LibGateway/Admission.h
@@ -35,6 +35,9 @@
   std::uint32_t Priority = 0;
 };
 
+/// Maximum time that a request spends on target selection.
+Duration maximumSearchTime(Duration LatencyObjective, std::uint32_t Priority);
+
 /// Admission control for a request when the targets are nearly or fully busy.
 AdmissionDecision decideAdmission(const AdmissionInput &Input);
 
