--- a/Tests/LibGateway/TestWorkTimes.cpp
+++ b/Tests/LibGateway/TestWorkTimes.cpp
@@ -1,9 +1,15 @@
 #include <LibCore/Random.h>
 #include <LibGateway/Admission.h>
+#include <LibGateway/TargetSelection.h>
 #include <LibGateway/WorkTimes.h>
 
 #include <gtest/gtest.h>
 
+#include <array>
+#include <cmath>
+#include <map>
+#include <vector>
+
 namespace comfreyrill {
 namespace {
 
@@ -62,6 +68,123 @@
             AdmissionDecision::RetrySelection);
 }
 
+enum class Rule { MeanOfService, MeanByRoute };
+
+/// Share of the requests of each route that were answered within the objective.
+struct InTimeShares {
+  double Short = 0;
+  double Long = 0;
+};
+
+/// Two routes with work of 63 ms and 190 ms on one service: 20 targets of three
+/// slots, a quarter of which is slowed down four times for about 300 ms.
+InTimeShares playTwoRoutes(Rule Used, std::uint64_t Seed) {
+  struct Caller {
+    std::size_t Route = 0;
+    TimePoint ArrivedAt;
+    TimePoint WakeAt;
+  };
+  struct Target {
+    std::vector<TimePoint> Ends;
+    double Slowdown = 1;
+    TimePoint SlowdownEndsAt = Start;
+  };
+  const std::array<Route, 2> Routes{routeNamed("short", 150ms),
+                                    routeNamed("long", 500ms)};
+  const std::array<Duration, 2> Work{63ms, 190ms};
+  const std::array<double, 2> PerSecond{140, 70};
+  Random Arrivals(Seed);
+  Random Generator(Seed + 1000);
+  std::uniform_real_distribution<double> Unit(0, 1);
+  const auto Scaled = [](Duration Time, double Factor) {
+    return std::chrono::duration_cast<Duration>(Time * Factor);
+  };
+  std::array<double, 2> Asked{};
+  std::array<double, 2> InTime{};
+  std::array<TimePoint, 2> NextArrivals{Start, Start};
+  std::vector<Target> Targets(20);
+  std::vector<Caller> Callers;
+  // Work times become known when the answers arrive.
+  std::multimap<TimePoint, std::pair<std::size_t, Duration>> Answers;
+  WorkTimes Times;
+  for (TimePoint Now = Start; Now < Start + 20s; Now += 1ms) {
+    for (Target &One : Targets) {
+      if (Now >= One.SlowdownEndsAt) {
+        One.Slowdown = Unit(Generator) < 0.25 ? 4 : 1;
+        One.SlowdownEndsAt = Now + Scaled(300ms, 0.5 + Unit(Generator));
+      }
+      std::erase_if(One.Ends, [&](TimePoint End) { return End <= Now; });
+    }
+    for (; !Answers.empty() && Answers.begin()->first <= Now;
+         Answers.erase(Answers.begin()))
+      recordWorkTime(Times, Routes[Answers.begin()->second.first],
+                     Answers.begin()->second.second, Now);
+    for (std::size_t Index = 0; Index < Routes.size(); ++Index)
+      for (; NextArrivals[Index] <= Now;
+           NextArrivals[Index] +=
+           Scaled(1s, -std::log(1 - Unit(Arrivals)) / PerSecond[Index])) {
+        ++Asked[Index];
+        Callers.push_back({Index, Now, Now});
+      }
+    std::vector<Caller> Left;
+    for (Caller &One : Callers) {
+      if (One.WakeAt > Now) {
+        Left.push_back(One);
+        continue;
+      }
+      const Route &Matched = Routes[One.Route];
+      std::vector<ProbedCandidate> Probed;
+      std::vector<Target *> Found;
+      for (int Probe = 0; Probe < 5; ++Probe) {
+        Found.push_back(&Targets[randomIndex(Generator, Targets.size())]);
+        LoadReport Load;
+        Load.InFlight = static_cast<std::uint32_t>(Found.back()->Ends.size());
+        Load.Slots = 3;
+        Load.Slowdown = Found.back()->Slowdown;
+        Probed.push_back({{}, Load, true});
+      }
+      const std::size_t Best = selectTarget(Probed).value();
+      const double Factor = expectedLatencyFactor(Probed[Best]);
+      AdmissionInput Input =
+          admissionInput(Scaled(Used == Rule::MeanByRoute
+                                    ? expectedWorkTime(Times, Matched, Now)
+                                    : Times.OfService.Mean,
+                                Factor),
+                         Matched);
+      Input.HasFreeSlot = hasFreeSlot(Probed[Best].Load);
+      Input.Waited = Now - One.ArrivedAt;
+      Input.TimeLeft = Matched.Timeout - Input.Waited;
+      const AdmissionDecision Decision = decideAdmission(Input);
+      if (Decision == AdmissionDecision::RetrySelection) {
+        One.WakeAt = Now + SelectionRetryInterval;
+        Left.push_back(One);
+      }
+      if (Decision != AdmissionDecision::Dispatch)
+        continue;
+      const Duration Needed =
+          Scaled(Work[One.Route], Factor * (0.8 + 0.4 * Unit(Generator)));
+      Found[Best]->Ends.push_back(Now + Needed);
+      Answers.insert({Now + Needed, {One.Route, Scaled(Needed, 1 / Factor)}});
+      InTime[One.Route] +=
+          Input.Waited + Needed <= Matched.LatencyObjective ? 1 : 0;
+    }
+    Callers = std::move(Left);
+  }
+  return {InTime[0] / Asked[0], InTime[1] / Asked[1]};
+}
+
+// Guards against late answers because the long requests of a service are
+// expected to be as short as the mean, and the short ones as long.
+TEST(WorkTimes, MoreRequestsOfBothLengthsMeetTheirObjectives) {
+  for (const std::uint64_t Seed : {1U, 2U, 3U}) {
+    SCOPED_TRACE(Seed);
+    const InTimeShares Before = playTwoRoutes(Rule::MeanOfService, Seed);
+    const InTimeShares After = playTwoRoutes(Rule::MeanByRoute, Seed);
+    EXPECT_GE(After.Short, Before.Short);
+    EXPECT_GE(After.Long, Before.Long);
+  }
+}
+
 // Guards against a start value that is far from the service's work time, and
 // against a single sample that decides alone.
 TEST(WorkTimes, RouteStartsWithTheMeanOfItsService) {
