Gateway: Schedule returns and order the waiting requests

findTarget asks the waiting order of the service before each selection round, refuseNotRun takes the Retry-After of overloaded requests from the service's return schedule, and admission lets the requests of accounts below their share search longer. Retry-After of the other refusals is limited to a third of the time left, too. The account is not set yet.

Tested with TestLibGateway (98 passed) and TestGateway (98 passed; the new test 20 times more).

--- a/Services/Gateway/GatewayState.h
+++ b/Services/Gateway/GatewayState.h
@@ -4,8 +4,10 @@
 #include <LibGateway/Configuration.h>
 #include <LibGateway/Exchange.h>
 #include <LibGateway/RetryBudget.h>
+#include <LibGateway/ReturnSchedule.h>
 #include <LibGateway/TargetDirectory.h>
 #include <LibGateway/TargetSelection.h>
+#include <LibGateway/WaitingOrder.h>
 #include <LibGateway/WorkTimes.h>
 #include <LibLog/RateLimitedLog.h>
 #include <LibRouting/Outlier.h>
@@ -82,6 +84,9 @@
 struct ServiceStats {
   RetryBudget RetryCounts;
   WorkTimes Times;
+  ReturnSchedule Returns;
+  /// Shared with the requests that search, which may be destroyed last.
+  std::shared_ptr<WaitingOrder> Waiting = std::make_shared<WaitingOrder>();
 };
 
 /// The configuration and the targets as one host knows them. The apply
--- a/Services/Gateway/RequestExecution.cpp
+++ b/Services/Gateway/RequestExecution.cpp
@@ -196,12 +196,22 @@
       AreAllPaused ? retryAfterPause(*Listed.EarliestPauseEnd -
                                          Dependencies.TimeSource.now(),
                                      workTime(), Dependencies.Generator)
-                   : retryAfter(Refusal, workTime(), Dependencies.Generator);
+                   : retryAfterRefusal();
   return refuse(http::status::service_unavailable,
                 HasCallerLeft ? "caller_left" : refusalCauseName(Refusal),
                 RetryAfter);
 }
 
+Duration RequestExecution::retryAfterRefusal() {
+  const TimePoint Now = Dependencies.TimeSource.now();
+  if (Refusal == RefusalCause::Overloaded && !HasCallerLeft)
+    return scheduleReturn(
+        Dependencies.CurrentState.serviceStats(Service).Returns,
+        {workTime(), Deadline - Now}, Now, Dependencies.Generator);
+  return std::min(retryAfter(Refusal, workTime(), Dependencies.Generator),
+                  honouredRetryAfter(Deadline - Now));
+}
+
 bool RequestExecution::mayBeginAttempt() {
   if (AttemptCount == 0 ||
       spendExtraAttempt(
@@ -278,7 +288,9 @@
 
 Awaitable<std::optional<ConnectedTarget>> RequestExecution::findTarget() {
   bool IsFirstPass = !IsSelectionRepeated;
-  while (!HasCallerLeft && !isTooLateInDrain(workTime())) {
+  PlaceInOrder Place(Dependencies.CurrentState.serviceStats(Service).Waiting,
+                     searchingRequest());
+  while (co_await waitForTurn(Place)) {
     std::vector<ConnectedTarget> Found;
     std::vector<ProbedCandidate> Probed;
     std::optional<std::size_t> Best;
@@ -316,12 +328,45 @@
     if (Decision != AdmissionDecision::RetrySelection)
       co_return Picked;
     IsFirstPass = false;
-    SelectionTimer.expires_after(SelectionRetryInterval);
-    co_await SelectionTimer.async_wait(UseTuple);
+    Place.recordFruitless(Best && hasFreeSlot(Probed[*Best].Load),
+                          Dependencies.TimeSource.now());
   }
   co_return std::nullopt;
 }
 
+SearchingRequest RequestExecution::searchingRequest() {
+  SearchingRequest Made;
+  Made.Priority = SelectedRoute->Priority;
+  Made.RoutePriority = SelectedRoute->Priority;
+  if (Account != nullptr) {
+    Made.Account = Account->Name;
+    Made.Priority = Account->Priority.value_or(Made.Priority);
+  }
+  Made.ArrivedAt = ReceivedAt;
+  Made.ObjectiveAt = ReceivedAt + SelectedRoute->LatencyObjective;
+  Made.Deadline = Deadline;
+  Made.SearchEndsAt =
+      ReceivedAt +
+      maximumSearchTime(SelectedRoute->LatencyObjective, Made.Priority);
+  Made.ExpectedTime = workTime();
+  return Made;
+}
+
+Awaitable<bool> RequestExecution::waitForTurn(PlaceInOrder &Place) {
+  while (!HasCallerLeft && !isTooLateInDrain(workTime())) {
+    const RoundDecision Decision = Place.decide(Dependencies.TimeSource.now());
+    if (Decision.Turn == RoundTurn::TakePart)
+      co_return true;
+    if (Decision.Turn == RoundTurn::Leave) {
+      Refusal = RefusalCause::Overloaded;
+      co_return false;
+    }
+    SelectionTimer.expires_at(Decision.AskAgainAt);
+    co_await SelectionTimer.async_wait(UseTuple);
+  }
+  co_return false;
+}
+
 Awaitable<std::optional<ConnectedTarget>>
 RequestExecution::findTargetFromCachedLoad() {
   const auto Candidates = usableCandidates();
@@ -382,7 +427,10 @@
   Input.Waited = Now - ReceivedAt;
   Input.LatencyObjective = SelectedRoute->LatencyObjective;
   Input.TimeLeft = Deadline - Now;
-  Input.Priority = SelectedRoute->Priority;
+  const SearchingRequest Ranked = searchingRequest();
+  Input.Priority =
+      searchPriority(*Dependencies.CurrentState.serviceStats(Service).Waiting,
+                     Ranked.Account, Ranked.Priority);
   return decideAdmission(Input);
 }
 
@@ -395,6 +443,8 @@
   TriedTargets.insert(Id);
   ActiveConnection = std::move(Target.Connection);
   Dependencies.CurrentState.beginAttempt(Process);
+  recordReceived(*Dependencies.CurrentState.serviceStats(Service).Waiting,
+                 searchingRequest().Account, workTime(), Begin);
   ActiveConnection->recordCarried(IdDigest);
   const auto RecordSignals = [&](const HttpResponse &Response) {
     Dependencies.CurrentState.recordSignals(
@@ -449,8 +499,9 @@
     Dependencies.CurrentState.recordAnswer(Process, Begin);
     const auto Work = std::chrono::duration_cast<Duration>(
         Elapsed / std::max(expectedLatencyFactor(Target.Candidate), 0.5));
-    recordWorkTime(Dependencies.CurrentState.serviceStats(Service).Times,
-                   *SelectedRoute, Work, Begin + Elapsed);
+    ServiceStats &Stats = Dependencies.CurrentState.serviceStats(Service);
+    recordWorkTime(Stats.Times, *SelectedRoute, Work, Begin + Elapsed);
+    recordCompletion(Stats.Returns, Begin + Elapsed);
   } else if (Report.Outcome != AttemptOutcome::NotRun &&
              Report.Outcome != AttemptOutcome::Cancelled && !HasAskedForPause) {
     Dependencies.CurrentState.recordFailure(Id, TargetFailure::Attempt);
--- a/Services/Gateway/RequestExecution.h
+++ b/Services/Gateway/RequestExecution.h
@@ -43,6 +43,10 @@
   /// Finds a target for the request. Returns none when the request is to be
   /// refused.
   Awaitable<std::optional<ConnectedTarget>> findTarget();
+  SearchingRequest searchingRequest();
+  /// Waits until the request may take part in a selection round. Returns false
+  /// when it is not to search any more.
+  Awaitable<bool> waitForTurn(PlaceInOrder &Place);
   /// Probes candidates that are not in Found, as far as probe tokens allow.
   Awaitable<std::vector<ConnectedTarget>>
   probe(const std::vector<ConnectedTarget> &Found, ProbeDemand Demand);
@@ -77,6 +81,8 @@
                                  TargetProcess Process, Endpoint Address);
   /// Returns the refusal of a request that no attempt may have run.
   HttpResponse refuseNotRun();
+  /// Returns the Retry-After of a refusal while not all targets are paused.
+  Duration retryAfterRefusal();
   HttpResponse answerFor(AttemptReport Last);
   HttpResponse refuse(http::status Status, std::string_view Reason,
                       std::optional<Duration> RetryAfter);
@@ -97,6 +103,8 @@
   TimePoint Deadline;
   std::shared_ptr<const Configuration> CurrentConfiguration;
   const Route *SelectedRoute = nullptr;
+  // FIXME: Set this to the account that holds the caller's key.
+  const ClientAccount *Account = nullptr;
   ServiceName Service;
   std::string HealthPath;
   std::set<TargetId> TriedTargets;
--- a/Tests/Gateway/TestRequestExecution.cpp
+++ b/Tests/Gateway/TestRequestExecution.cpp
@@ -867,6 +867,45 @@
   EXPECT_LT(std::stod(std::string(Response[http::field::retry_after])), 1);
 }
 
+// Guards against refused callers that come back as the crowd that they were, or
+// after a time that they do not honour: a third of the time limit of a second.
+TEST_F(RequestExecutionTest, RefusedCallersComeBackOneAfterAnother) {
+  configure(ExecutionSemantics::AtMostOnce);
+  FakeTarget &Full = addTarget(answerWhole);
+  Full.Load = "6,0,6,100";
+  std::vector<double> Delays;
+  std::vector<TimePoint> ReturnTimes;
+  std::optional<TimePoint> FirstRefusedAt;
+  for (int Count = 0; Count < 4; ++Count) {
+    auto Execution = make("/x/1", "r-" + std::to_string(Count));
+    asio::co_spawn(
+        Loop,
+        [this, Execution, &Delays, &ReturnTimes,
+         &FirstRefusedAt]() -> Awaitable<void> {
+          const HttpResponse Response = co_await Execution->run();
+          EXPECT_EQ(Response.body(), R"({"reason":"overloaded"})");
+          Delays.push_back(
+              std::stod(std::string(Response[http::field::retry_after])));
+          FirstRefusedAt = FirstRefusedAt.value_or(TimeSource.now());
+          ReturnTimes.push_back(
+              TimeSource.now() +
+              std::chrono::duration_cast<Duration>(Delays.back() * 1s));
+        },
+        asio::detached);
+  }
+  while (Delays.size() < 4 && Loop.run_one() > 0) {
+  }
+  EXPECT_EQ(Full.Runs, 0);
+  for (const double Delay : Delays) {
+    EXPECT_GE(Delay, 0.1);
+    EXPECT_LE(Delay, 0.333);
+  }
+  // The first one comes back within two work times, the second one after them.
+  // The header is rounded to milliseconds.
+  EXPECT_GT(ReturnTimes[1], ReturnTimes[0] - 2ms);
+  EXPECT_GT(ReturnTimes[1] - FirstRefusedAt.value(), 195ms);
+}
+
 // Guards against holding a request for a pause while another target is free.
 TEST_F(RequestExecutionTest, HeldRequestUsesATargetThatRegisters) {
   configure(ExecutionSemantics::AtMostOnce, 3s);
