--- a/Services/Gateway/GatewayState.h
+++ b/Services/Gateway/GatewayState.h
@@ -4,8 +4,11 @@
 #include <LibGateway/Configuration.h>
 #include <LibGateway/Exchange.h>
 #include <LibGateway/RetryBudget.h>
+#include <LibGateway/ReturnSchedule.h>
 #include <LibGateway/TargetDirectory.h>
 #include <LibGateway/TargetSelection.h>
+#include <LibGateway/WaitingOrder.h>
+#include <LibGateway/WorkTimes.h>
 #include <LibLog/RateLimitedLog.h>
 #include <LibRouting/Outlier.h>
 #include <LibRouting/TargetPause.h>
@@ -80,8 +83,10 @@
 /// Statistics of one service on this host.
 struct ServiceStats {
   RetryBudget RetryCounts;
-  /// Mean time that an idle target of usual speed needs for a request.
-  Duration WorkTime = std::chrono::milliseconds(100);
+  WorkTimes Times;
+  ReturnSchedule Returns;
+  /// Shared with the requests that search, which may be destroyed last.
+  std::shared_ptr<WaitingOrder> Waiting = std::make_shared<WaitingOrder>();
 };
 
 /// The configuration and the targets as one host knows them. The apply
--- a/Services/Gateway/RequestExecution.cpp
+++ b/Services/Gateway/RequestExecution.cpp
@@ -18,8 +18,6 @@
 constexpr std::array<ProbeDemand, 2> ProbesByRound{{{1, 3, 5}, {0, 5, 6}}};
 // A host gets a configuration within a second of reaching the store.
 constexpr Duration RetryWithoutConfiguration = std::chrono::milliseconds(300);
-// Weight of one request in the moving average of the work time of a service.
-constexpr double WorkTimeWeight = 0.05;
 constexpr std::uint64_t AnswerBytesMaximum = std::uint64_t{8} * 1024 * 1024;
 // Interval at which a request that is held for a pause looks for other targets,
 // which may have registered meanwhile.
@@ -223,12 +221,22 @@
       AreAllPaused ? retryAfterPause(*Listed.EarliestPauseEnd -
                                          Dependencies.TimeSource.now(),
                                      workTime(), Dependencies.Generator)
-                   : retryAfter(Refusal, workTime(), Dependencies.Generator);
+                   : retryAfterRefusal();
   return refuse(http::status::service_unavailable,
                 HasCallerLeft ? "caller_left" : refusalCauseName(Refusal),
                 RetryAfter);
 }
 
+Duration RequestExecution::retryAfterRefusal() {
+  const TimePoint Now = Dependencies.TimeSource.now();
+  if (Refusal == RefusalCause::Overloaded && !HasCallerLeft)
+    return scheduleReturn(
+        Dependencies.CurrentState.serviceStats(Service).Returns,
+        {workTime(), Deadline - Now}, Now, Dependencies.Generator);
+  return std::min(retryAfter(Refusal, workTime(), Dependencies.Generator),
+                  honouredRetryAfter(Deadline - Now));
+}
+
 bool RequestExecution::mayBeginAttempt() {
   if (AttemptCount == 0 ||
       spendExtraAttempt(
@@ -309,7 +317,9 @@
 
 Awaitable<std::optional<ConnectedTarget>> RequestExecution::findTarget() {
   bool IsFirstPass = !IsSelectionRepeated;
-  while (!HasCallerLeft && !isTooLateInDrain(workTime())) {
+  PlaceInOrder Place(Dependencies.CurrentState.serviceStats(Service).Waiting,
+                     searchingRequest());
+  while (co_await waitForTurn(Place)) {
     std::vector<ConnectedTarget> Found;
     std::vector<ProbedCandidate> Probed;
     std::optional<std::size_t> Best;
@@ -347,12 +357,43 @@
     if (Decision != AdmissionDecision::RetrySelection)
       co_return Picked;
     IsFirstPass = false;
-    SelectionTimer.expires_after(SelectionRetryInterval);
-    co_await SelectionTimer.async_wait(UseTuple);
+    Place.recordFruitless(Best && hasFreeSlot(Probed[*Best].Load),
+                          Dependencies.TimeSource.now());
   }
   co_return std::nullopt;
 }
 
+SearchingRequest RequestExecution::searchingRequest() {
+  SearchingRequest Made;
+  Made.Priority = effectivePriority(*SelectedRoute, Account);
+  Made.RoutePriority = SelectedRoute->Priority;
+  if (Account != nullptr)
+    Made.Account = Account->Name;
+  Made.ArrivedAt = ReceivedAt;
+  Made.ObjectiveAt = ReceivedAt + SelectedRoute->LatencyObjective;
+  Made.Deadline = Deadline;
+  Made.SearchEndsAt =
+      ReceivedAt +
+      maximumSearchTime(SelectedRoute->LatencyObjective, Made.Priority);
+  Made.ExpectedTime = workTime();
+  return Made;
+}
+
+Awaitable<bool> RequestExecution::waitForTurn(PlaceInOrder &Place) {
+  while (!HasCallerLeft && !isTooLateInDrain(workTime())) {
+    const RoundDecision Decision = Place.decide(Dependencies.TimeSource.now());
+    if (Decision.Turn == RoundTurn::TakePart)
+      co_return true;
+    if (Decision.Turn == RoundTurn::Leave) {
+      Refusal = RefusalCause::Overloaded;
+      co_return false;
+    }
+    SelectionTimer.expires_at(Decision.AskAgainAt);
+    co_await SelectionTimer.async_wait(UseTuple);
+  }
+  co_return false;
+}
+
 Awaitable<std::optional<ConnectedTarget>>
 RequestExecution::findTargetFromCachedLoad() {
   const auto Candidates = usableCandidates();
@@ -413,7 +454,10 @@
   Input.Waited = Now - ReceivedAt;
   Input.LatencyObjective = SelectedRoute->LatencyObjective;
   Input.TimeLeft = Deadline - Now;
-  Input.Priority = effectivePriority(*SelectedRoute, Account);
+  const SearchingRequest Ranked = searchingRequest();
+  Input.Priority =
+      searchPriority(*Dependencies.CurrentState.serviceStats(Service).Waiting,
+                     Ranked.Account, Ranked.Priority);
   return decideAdmission(Input);
 }
 
@@ -426,6 +470,8 @@
   TriedTargets.insert(Id);
   ActiveConnection = std::move(Target.Connection);
   Dependencies.CurrentState.beginAttempt(Process);
+  recordReceived(*Dependencies.CurrentState.serviceStats(Service).Waiting,
+                 searchingRequest().Account, workTime(), Begin);
   ActiveConnection->recordCarried(IdDigest);
   const auto RecordSignals = [&](const HttpResponse &Response) {
     Dependencies.CurrentState.recordSignals(
@@ -482,11 +528,11 @@
   if (Report.Outcome == AttemptOutcome::Answered) {
     Dependencies.CurrentState.recordSuccess(Id);
     Dependencies.CurrentState.recordAnswer(Process, Begin);
-    ServiceStats &Stats = Dependencies.CurrentState.serviceStats(Service);
     const auto Work = std::chrono::duration_cast<Duration>(
         Elapsed / std::max(expectedLatencyFactor(Target.Candidate), 0.5));
-    Stats.WorkTime += std::chrono::duration_cast<Duration>(
-        (Work - Stats.WorkTime) * WorkTimeWeight);
+    ServiceStats &Stats = Dependencies.CurrentState.serviceStats(Service);
+    recordWorkTime(Stats.Times, *SelectedRoute, Work, Begin + Elapsed);
+    recordCompletion(Stats.Returns, Begin + Elapsed);
   } else if (Report.Outcome != AttemptOutcome::NotRun &&
              Report.Outcome != AttemptOutcome::Cancelled && !HasAskedForPause) {
     Dependencies.CurrentState.recordFailure(Id, TargetFailure::Attempt);
@@ -534,7 +580,8 @@
 }
 
 Duration RequestExecution::workTime() {
-  return Dependencies.CurrentState.serviceStats(Service).WorkTime;
+  return expectedWorkTime(Dependencies.CurrentState.serviceStats(Service).Times,
+                          *SelectedRoute, Dependencies.TimeSource.now());
 }
 
 void RequestExecution::logRequestEnd(unsigned Status,
