LibPeer: Accept token requests and grants

Cause: the receiver counted neither among the known message types and replied that its version does not support them. Change: the codec counts both.

--- a/Libraries/LibPeer/Codec.cpp
+++ b/Libraries/LibPeer/Codec.cpp
@@ -34,7 +34,8 @@
          Set.grant_request + Set.grant_reply + Set.seal_request +
          Set.seal_reply + Set.outcome_notice + Set.crash_evidence + Set.error +
          Set.probe_notice + Set.domain_report + Set.join_request +
-         Set.introduction + Set.target_update + Set.load_notice;
+         Set.introduction + Set.target_update + Set.load_notice +
+         Set.token_request + Set.token_grant;
 }
 
 bool hasOversizedList(const wire::PeerBody &Body) {
--- a/Tests/LibPeer/TestCodec.cpp
+++ b/Tests/LibPeer/TestCodec.cpp
@@ -192,5 +192,29 @@
   EXPECT_FALSE(hasKnownBody(Decoded.value().body));
 }
 
+// Guards against a message type that the receiver refuses as unknown although
+// this version defines it.
+TEST(Codec, MessagesOfAllotmentsAreKnown) {
+  wire::TokenRequest Request;
+  Request.account = "account";
+  Request.wanted = 3;
+  Request.configuration = 7;
+  wire::TokenGrant Grant;
+  Grant.account = "account";
+  Grant.granted = 3;
+  Grant.lifetime_ms = 500;
+  wire::PeerMessage Message;
+  Message.correlation = 1;
+  Message.body.__set_token_request(Request);
+  const auto DecodedRequest = decode(encode(Message).value());
+  ASSERT_TRUE(DecodedRequest);
+  EXPECT_TRUE(hasKnownBody(DecodedRequest.value().body));
+  Message.body = wire::PeerBody();
+  Message.body.__set_token_grant(Grant);
+  const auto DecodedGrant = decode(encode(Message).value());
+  ASSERT_TRUE(DecodedGrant);
+  EXPECT_TRUE(hasKnownBody(DecodedGrant.value().body));
+}
+
 } // namespace
 } // namespace comfreyrill
