LibAccount: Allow for late timers and draw harder plays

Cause: a timer that fires just after 40 ms kept a request from asking the second owner; and the property drew few surges, so that it did not notice tokens without a lifetime. Change: a wait may end 10 ms late. Plays have up to 60 hosts, bursts of up to 8 times the rate, and surges after usual demand.

--- a/Libraries/LibAccount/Allotments.cpp
+++ b/Libraries/LibAccount/Allotments.cpp
@@ -15,6 +15,9 @@
 constexpr Duration PauseThreshold = std::chrono::milliseconds(500);
 constexpr Duration SweepInterval = std::chrono::seconds(5);
 constexpr Duration LeaseIdleTime = std::chrono::seconds(10);
+// The timer of a wait may fire this late on a busy host, which must not keep it
+// from asking the second owner.
+constexpr Duration TimerDelay = std::chrono::milliseconds(10);
 // An owner that has an older configuration gets the new one within this time
 // or little later.
 constexpr Duration UnownedTime = std::chrono::milliseconds(500);
@@ -145,7 +148,10 @@
     return fallBack(State, Lease, Holder.Rate, Generator, Now);
   if (Now < Lease.UnownedUntil)
     return fallBack(State, Lease, Holder.Rate, Generator, Now);
-  if (Lease.Pending && Now < GiveUpAt)
+  const auto IsInTime = [&](TimePoint SentAt) {
+    return SentAt + OwnerTimeout <= GiveUpAt + TimerDelay;
+  };
+  if (Lease.Pending && IsInTime(Lease.Pending->SentAt))
     return {TokenStep::Await, {}, {}, {}};
   const OwnerCandidate *Owner =
       chooseOwner(State.View, Holder.Name, State.Skipped, Now);
@@ -158,7 +164,7 @@
     return {TokenStep::Taken, TokenSource::OwnBucket, {}, {}};
   }
   // An owner that does not respond here may grant the rate to other hosts.
-  if (!Owner || Lease.Pending || Now + OwnerTimeout > GiveUpAt)
+  if (!Owner || Lease.Pending || !IsInTime(Now))
     return fallBack(State, Lease, substituteRate(Holder.Rate), Generator, Now);
   return {TokenStep::Ask, {}, {}, *Owner};
 }
--- a/Libraries/LibAccount/Allotments.h
+++ b/Libraries/LibAccount/Allotments.h
@@ -13,7 +13,8 @@
 
 /// Time after which an owner counts as not responding.
 inline constexpr Duration OwnerTimeout = std::chrono::milliseconds(40);
-/// Longest time that a request waits for a token.
+/// Time that a request may wait for a token: for two owners one after the
+/// other, give or take the delay of a timer.
 inline constexpr Duration TokenWaitMaximum = std::chrono::milliseconds(80);
 
 /// What one host knows of the allotments of accounts, as their owner and as a
--- a/Tests/LibAccount/TestAllotments.cpp
+++ b/Tests/LibAccount/TestAllotments.cpp
@@ -109,7 +109,7 @@
 TEST_F(AllotmentsTest, WaitEndsWithTheFallback) {
   TokenLease &Lease = beginAcquire(State, Other.Name, Now);
   const TokenDecision Late =
-      decide(State, Lease, Other, Now + 30ms, Generator, Now);
+      decide(State, Lease, Other, Now + 29ms, Generator, Now);
   EXPECT_NE(Late.Step, TokenStep::Ask);
   EXPECT_EQ(Late.Source, TokenSource::Fallback);
 }
--- a/Tests/LibAccount/TestQuotaFleet.cpp
+++ b/Tests/LibAccount/TestQuotaFleet.cpp
@@ -379,26 +379,38 @@
   Duration LongestWait{0};
 };
 
-int draw(int From, int To) { return *rc::gen::inRange(From, To + 1); }
+// From the whole range in all cases: the first ones would otherwise have few
+// hosts and faults.
+int draw(int From, int To) {
+  return *rc::gen::resize(rc::kNominalSize, rc::gen::inRange(From, To + 1));
+}
 
 Play drawPlay() {
   Play Drawn;
   Drawn.Seed = *rc::gen::arbitrary<std::uint64_t>();
-  Drawn.Hosts = static_cast<std::size_t>(draw(1, 14));
+  Drawn.Hosts =
+      static_cast<std::size_t>(draw(0, 3) == 0 ? draw(15, 60) : draw(1, 14));
   Drawn.Rate = draw(1, 25) * draw(1, 12);
-  Drawn.Burst = Drawn.Rate * draw(0, 30) / 10.0;
+  Drawn.Burst = Drawn.Rate * draw(0, 80) / 10.0;
   Drawn.Skew = draw(0, 10) / 10.0;
   Drawn.Time = 20s;
   return Drawn;
 }
 
-// Guards against requests beyond the quota of an account: while hosts are
-// frozen, restarted or cut off, and while they do not agree on the owner.
-RC_GTEST_PROP(QuotaFleetProperty, QuotaIsKeptInEveryWindow, ()) {
+Play drawFaultyPlay() {
   Play Drawn = drawPlay();
-  for (int Change = draw(1, 5); Change > 0; --Change)
-    Drawn.Loads.push_back(
-        {std::chrono::milliseconds(draw(0, 15'000)), draw(0, 50) / 10.0});
+  if (draw(0, 1) == 0) {
+    // Hosts hold tokens for their usual demand when a surge begins.
+    const auto Usual = std::chrono::milliseconds(draw(1'000, 8'000));
+    const auto Pause = std::chrono::milliseconds(draw(0, 2'000));
+    Drawn.Loads = {{0ms, draw(3, 10) / 10.0},
+                   {Usual, 0},
+                   {Usual + Pause, draw(20, 75) / 10.0}};
+  } else {
+    for (int Change = draw(1, 5); Change > 0; --Change)
+      Drawn.Loads.push_back(
+          {std::chrono::milliseconds(draw(0, 15'000)), draw(0, 50) / 10.0});
+  }
   std::sort(Drawn.Loads.begin(), Drawn.Loads.end(),
             [](const LoadChange &One, const LoadChange &Other) {
               return One.Begin < Other.Begin;
@@ -408,6 +420,13 @@
                             std::chrono::milliseconds(draw(0, 18'000)),
                             std::chrono::milliseconds(draw(50, 8'000)),
                             static_cast<std::size_t>(draw(0, 20))});
+  return Drawn;
+}
+
+// Guards against requests beyond the quota of an account: while hosts are
+// frozen, restarted or cut off, and while they do not agree on the owner.
+RC_GTEST_PROP(QuotaFleetProperty, QuotaIsKeptInEveryWindow, ()) {
+  const Play Drawn = drawFaultyPlay();
   QuotaFleet Fleet(Drawn);
   Fleet.run();
   RC_ASSERT(Fleet.excess() <= 0);
@@ -424,7 +443,7 @@
   RC_ASSERT(Fleet.excess() <= 0);
   RC_ASSERT(Fleet.withinQuota() == 0U || Fleet.servedShare() >= 0.98);
   RC_ASSERT(Fleet.messages() <= 2 * Fleet.arrivals());
-  RC_ASSERT(Fleet.longestWait() <= TokenWaitMaximum);
+  RC_ASSERT(Fleet.longestWait() <= TokenWaitMaximum + 10ms);
 }
 
 // Guards against batches that are too small for an account of which each of
