--- a/Libraries/LibMembership/DomainTable.cpp
+++ b/Libraries/LibMembership/DomainTable.cpp
@@ -60,6 +60,10 @@
   return stableHash({Text});
 }
 
+bool isReachable(const RemoteDomain &Domain, TimePoint Now) {
+  return Domain.HeardAt && Now - *Domain.HeardAt <= DomainLostAfter;
+}
+
 std::vector<Endpoint> delegatesOf(const RemoteDomain &Domain) {
   if (Domain.Hosts.empty())
     return Domain.SeedContacts;
@@ -204,13 +208,21 @@
 std::vector<RemoteHost> remoteHosts(const DomainTable &Table, TimePoint Now) {
   std::vector<RemoteHost> Hosts;
   for (const auto &[Name, Domain] : Table.Domains)
-    if (Domain.HeardAt && Now - *Domain.HeardAt <= DomainLostAfter)
+    if (isReachable(Domain, Now))
       for (const RemoteHost &Host : Domain.Hosts)
         if (Host.State == HostState::Ready)
           Hosts.push_back(Host);
   return Hosts;
 }
 
+std::size_t reachableHostCount(const DomainTable &Table, TimePoint Now) {
+  std::size_t Count = 0;
+  for (const auto &[Name, Domain] : Table.Domains)
+    if (isReachable(Domain, Now))
+      Count += Domain.Hosts.size();
+  return Count;
+}
+
 std::size_t remoteHostCount(const DomainTable &Table) {
   std::size_t Count = 0;
   for (const auto &[Name, Domain] : Table.Domains)
--- a/Libraries/LibMembership/DomainTable.h
+++ b/Libraries/LibMembership/DomainTable.h
@@ -128,6 +128,9 @@
 /// Ready hosts of those other domains that have sent a report recently.
 std::vector<RemoteHost> remoteHosts(const DomainTable &Table, TimePoint Now);
 
+/// Number of hosts in those other domains that have sent a report recently.
+std::size_t reachableHostCount(const DomainTable &Table, TimePoint Now);
+
 /// Number of hosts in the other domains, regardless of their state.
 std::size_t remoteHostCount(const DomainTable &Table);
 
--- a/Services/Gateway/FleetService.cpp
+++ b/Services/Gateway/FleetService.cpp
@@ -46,11 +46,11 @@
 FleetService::FleetService(const GatewayDependencies &Dependencies,
                            MemberTable &Members, DomainTable &Domains,
                            StateReplicator &Replicator, LoadExchange &Loads,
-                           CrashExchange &Crashes, PeerMesh &Mesh,
-                           std::vector<Endpoint> Seeds)
+                           CrashExchange &Crashes, AllotmentExchange &Quotas,
+                           PeerMesh &Mesh, std::vector<Endpoint> Seeds)
     : Dependencies(Dependencies), Members(Members), Domains(Domains),
-      Replicator(Replicator), Loads(Loads), Crashes(Crashes), Mesh(Mesh),
-      Seeds(std::move(Seeds)), TickTimer(Dependencies.Context) {}
+      Replicator(Replicator), Loads(Loads), Crashes(Crashes), Quotas(Quotas),
+      Mesh(Mesh), Seeds(std::move(Seeds)), TickTimer(Dependencies.Context) {}
 
 void FleetService::start() {
   asio::co_spawn(
@@ -76,6 +76,7 @@
 
 void FleetService::tick() {
   expirePeers(Members, Dependencies.TimeSource.now());
+  Quotas.tick();
   contactSeeds();
   Replicator.tick();
   if (OnTick)
@@ -119,6 +120,8 @@
     Replicator.onTargetUpdate(Body.target_update, UpdateSource::Push);
   else if (Body.__isset.document_request)
     Replicator.onDocumentRequest(Body.document_request, Reply);
+  else if (Body.__isset.token_request)
+    Quotas.onRequest(Body.token_request, Reply);
 }
 
 void FleetService::onNotice(const wire::LoadNotice &Notice) {
--- a/Services/Gateway/FleetService.h
+++ b/Services/Gateway/FleetService.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "AllotmentExchange.h"
 #include "CrashExchange.h"
 #include "GatewayDependencies.h"
 #include "LoadExchange.h"
@@ -21,7 +22,8 @@
 public:
   FleetService(const GatewayDependencies &Dependencies, MemberTable &Members,
                DomainTable &Domains, StateReplicator &Replicator,
-               LoadExchange &Loads, CrashExchange &Crashes, PeerMesh &Mesh,
+               LoadExchange &Loads, CrashExchange &Crashes,
+               AllotmentExchange &Quotas, PeerMesh &Mesh,
                std::vector<Endpoint> Seeds);
 
   /// Called several times a second, after the membership has been updated.
@@ -67,6 +69,7 @@
   StateReplicator &Replicator;
   LoadExchange &Loads;
   CrashExchange &Crashes;
+  AllotmentExchange &Quotas;
   PeerMesh &Mesh;
   std::vector<Endpoint> Seeds;
   TickHandler OnTick;
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -127,9 +127,11 @@
   const auto Quarantine = std::make_shared<CrashQuarantine>(*Dependencies);
   const auto Crashes = std::make_shared<CrashExchange>(
       *Dependencies, *Quarantine, *Members, *Domains, *Mesh);
+  const auto Quotas = std::make_shared<AllotmentExchange>(
+      *Dependencies, *Members, *Domains, *Mesh);
   const auto Fleet = std::make_shared<FleetService>(
-      *Dependencies, *Members, *Domains, *Replicator, *Loads, *Crashes, *Mesh,
-      Configured.Seeds);
+      *Dependencies, *Members, *Domains, *Replicator, *Loads, *Crashes, *Quotas,
+      *Mesh, Configured.Seeds);
   Dependencies->BudgetHostCount = [Fleet = Fleet.get()] {
     return Fleet->budgetHostCount();
   };
@@ -148,6 +150,7 @@
   TRY(Registry.add("load_exchange", Loads));
   TRY(Registry.add("crash_quarantine", Quarantine));
   TRY(Registry.add("crash_exchange", Crashes));
+  TRY(Registry.add("allotment_exchange", Quotas));
   TRY(Registry.add("mesh", Mesh));
   TRY(Registry.add("fleet", Fleet));
   TRY(Registry.add("store_connections", StoreConnections));
--- a/Tests/Gateway/MeshHost.h
+++ b/Tests/Gateway/MeshHost.h
@@ -8,7 +8,7 @@
 
 namespace comfreyrill {
 
-/// One host of a fleet of two: its state and its links to other hosts, for
+/// One host of a small fleet: its state and its links to other hosts, for
 /// tests of the services that exchange messages.
 struct MeshHost {
   MeshHost(asio::io_context &Loop, const Clock &TimeSource,
--- a/Tests/LibMembership/TestDomainTable.cpp
+++ b/Tests/LibMembership/TestDomainTable.cpp
@@ -37,7 +37,9 @@
             ReportVerdict::Changed);
   EXPECT_EQ(remoteHosts(Table, Start).size(), 1U);
   EXPECT_EQ(remoteHostCount(Table), 2U);
+  EXPECT_EQ(reachableHostCount(Table, Start), 2U);
   EXPECT_TRUE(remoteHosts(Table, Start + 4s).empty());
+  EXPECT_EQ(reachableHostCount(Table, Start + 4s), 0U);
 }
 
 // Guards against reports that always carry all hosts, and against a receiver
