--- a/Tests/Gateway/TestAllotmentExchange.cpp
+++ b/Tests/Gateway/TestAllotmentExchange.cpp
@@ -218,5 +218,22 @@
   EXPECT_EQ(Other.ProcessMetrics.counter("tokens_fallback_total"), 1U);
 }
 
+// Guards against an owner that exits and takes the saved up tokens with it.
+TEST_F(AllotmentExchangeTest, LeavingHostIsNoOwner) {
+  QuotaHost Leaving(Loop, TimeSource, "h1", "west");
+  QuotaHost Remote(Loop, TimeSource, "h3", "east");
+  QuotaHost Other(Loop, TimeSource, "h2", "west");
+  Leaving.Members.Self.State = HostState::Leaving;
+  Remote.Members.Self.State = HostState::Leaving;
+  Other.addPeer(Leaving, TimeSource.now());
+  Other.addRemote(Remote, TimeSource.now());
+  for (const std::string Owner : {"h1", "h3"}) {
+    const ClientAccount Holder = accountOf(Owner, {"h1", "h2", "h3"});
+    Other.configure(Holder);
+    EXPECT_EQ(taken(acquireAll(Other, Holder, 20)), 20);
+  }
+  EXPECT_EQ(Leaving.Requests + Remote.Requests, 0);
+}
+
 } // namespace
 } // namespace comfreyrill
