Gateway: Enforce the allotments of client accounts

Requests of accounts with a limit take a token before they are routed, and give it back when they are refused for another reason without having run.

--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -136,6 +136,14 @@
   Dependencies->BudgetHostCount = [Fleet = Fleet.get()] {
     return Fleet->budgetHostCount();
   };
+  Dependencies->AcquireToken = [Quotas =
+                                    Quotas.get()](const ClientAccount &Holder) {
+    return Quotas->acquire(Holder);
+  };
+  Dependencies->ReturnToken = [Quotas =
+                                   Quotas.get()](const AccountName &Account) {
+    Quotas->giveBack(Account);
+  };
   const auto StoreConnections =
       std::make_shared<ConnectionPool>(Context, TimeSource, PoolIdleTime);
   const auto Client = std::make_shared<platform::StoreClient>(
