LibGateway: Take the factors for remote targets as a parameter

Target selection held the handicap of targets in other failure domains as constants, so that nothing could decide it per request. selectTarget and selectProbeCandidates take RemoteFactors; the defaults are the previous constants, and the product for remote targets outside the preferred subset is the same number as before.

--- a/Libraries/LibGateway/TargetSelection.cpp
+++ b/Libraries/LibGateway/TargetSelection.cpp
@@ -14,30 +14,26 @@
 constexpr double CongestionFactor = 1.7;
 // A target that has just started runs at about half its speed.
 constexpr double ColdStartFactor = 2.0;
-// Traffic between failure domains has a price, so a remote target is used only
-// when its expected latency is lower by this factor.
-constexpr double RemoteFactor = 1.25;
-// A remote target is probed before a local one only when the latest report of
-// the local one shows congestion or slowness, because the probe itself is
-// traffic between failure domains.
-constexpr double RemoteProbeFactor = 1.7;
 // Targets outside the preferred subset are probed when the latest reports of
 // the subset show busy or slow targets, because probing one of them mostly
 // needs a new connection.
 constexpr double OutsideLocalSubsetProbeFactor = 1.4;
-constexpr double OutsideRemoteSubsetProbeFactor = 2.6;
+constexpr double OutsideRemoteSubsetProbeFactor = 2.6 / 1.7;
 // An idle target at its usual speed has a latency factor of 1.
 constexpr double GoodEnoughLatencyFactor = 1.3;
 
-double localityFactor(const TargetCandidate &Candidate) {
-  return Candidate.IsInLocalDomain ? 1.0 : RemoteFactor;
+double localityFactor(const TargetCandidate &Candidate,
+                      const RemoteFactors &Factors) {
+  return Candidate.IsInLocalDomain ? 1.0 : Factors.Selection;
 }
 
-double probeLocalityFactor(const TargetCandidate &Candidate) {
+double probeLocalityFactor(const TargetCandidate &Candidate,
+                           const RemoteFactors &Factors) {
   if (Candidate.IsInLocalDomain)
     return Candidate.IsInPreferredSubset ? 1 : OutsideLocalSubsetProbeFactor;
-  return Candidate.IsInPreferredSubset ? RemoteProbeFactor
-                                       : OutsideRemoteSubsetProbeFactor;
+  return Candidate.IsInPreferredSubset
+             ? Factors.Probe
+             : Factors.Probe * OutsideRemoteSubsetProbeFactor;
 }
 
 // Time constant for the exponential decay of a load report's weight. The load
@@ -65,8 +61,10 @@
              : 1 + Weight * (CachedFactor - 1);
 }
 
-double selectionCost(const ProbedCandidate &Candidate) {
-  return expectedLatencyFactor(Candidate) * localityFactor(Candidate.Target);
+double selectionCost(const ProbedCandidate &Candidate,
+                     const RemoteFactors &Factors) {
+  return expectedLatencyFactor(Candidate) *
+         localityFactor(Candidate.Target, Factors);
 }
 
 } // namespace
@@ -105,7 +103,8 @@
 
 std::vector<TargetCandidate>
 selectProbeCandidates(std::vector<TargetCandidate> Candidates,
-                      std::size_t Count, Random &Generator) {
+                      std::size_t Count, Random &Generator,
+                      const RemoteFactors &Factors) {
   struct Ranked {
     std::tuple<bool, double> Order;
     std::size_t Index;
@@ -115,7 +114,7 @@
   for (std::size_t Index = 0; Index < Candidates.size(); ++Index) {
     const TargetCandidate &Candidate = Candidates[Index];
     const double Cost = cachedLatencyFactor(Candidate) *
-                        probeLocalityFactor(Candidate) *
+                        probeLocalityFactor(Candidate, Factors) *
                         JitterFactor(Generator);
     Ranking.push_back({{Candidate.IsSuspect, Cost}, Index});
   }
@@ -154,16 +153,17 @@
 }
 
 std::optional<std::size_t>
-selectTarget(const std::vector<ProbedCandidate> &Probed) {
+selectTarget(const std::vector<ProbedCandidate> &Probed,
+             const RemoteFactors &Factors) {
   if (Probed.empty())
     return std::nullopt;
   const auto Best = std::min_element(
       Probed.begin(), Probed.end(),
-      [](const ProbedCandidate &One, const ProbedCandidate &Other) {
+      [&](const ProbedCandidate &One, const ProbedCandidate &Other) {
         return std::tuple(!One.IsHealthy, One.Target.IsSuspect,
-                          selectionCost(One)) <
+                          selectionCost(One, Factors)) <
                std::tuple(!Other.IsHealthy, Other.Target.IsSuspect,
-                          selectionCost(Other));
+                          selectionCost(Other, Factors));
       });
   return static_cast<std::size_t>(Best - Probed.begin());
 }
--- a/Libraries/LibGateway/TargetSelection.h
+++ b/Libraries/LibGateway/TargetSelection.h
@@ -11,6 +11,18 @@
 
 namespace comfreyrill {
 
+/// How much better a target of another failure domain must be than a local one
+/// to be used instead.
+struct RemoteFactors {
+  /// Traffic between failure domains has a price, so a remote target is used
+  /// only when its expected latency is lower by this factor.
+  double Selection = 1.25;
+  /// A remote target is probed before a local one only when the latest report
+  /// of the local one shows congestion or slowness, because the probe itself is
+  /// traffic between failure domains.
+  double Probe = 1.7;
+};
+
 /// A target that is eligible for a request, before it is probed.
 struct TargetCandidate {
   TargetId Id;
@@ -64,7 +76,8 @@
 /// with its age, so that each candidate is probed again from time to time.
 std::vector<TargetCandidate>
 selectProbeCandidates(std::vector<TargetCandidate> Candidates,
-                      std::size_t Count, Random &Generator);
+                      std::size_t Count, Random &Generator,
+                      const RemoteFactors &Factors = {});
 
 /// Selects a target by the cached load reports, for times when the probe rate
 /// limit allows no probe. Returns the index of a candidate with a free slot and
@@ -80,8 +93,9 @@
 /// Returns the index of the target to use, or nothing without a candidate.
 /// Healthy targets come before unhealthy ones and suspect ones come last within
 /// each group; among the rest the lowest expected latency wins, where a remote
-/// target must be clearly faster than a local one.
+/// target must be faster than a local one by the factor.
 std::optional<std::size_t>
-selectTarget(const std::vector<ProbedCandidate> &Probed);
+selectTarget(const std::vector<ProbedCandidate> &Probed,
+             const RemoteFactors &Factors = {});
 
 } // namespace comfreyrill
--- a/Tests/LibGateway/TestTargetSelection.cpp
+++ b/Tests/LibGateway/TestTargetSelection.cpp
@@ -54,6 +54,26 @@
             "far");
 }
 
+// Guards against a factor that is ignored: a request that is to leave its
+// failure domain would stay, and one that is to stay would leave.
+TEST(TargetSelection, FactorsOfTheCallerReplaceTheDefaults) {
+  const TargetCandidate Local = candidate("local");
+  const TargetCandidate Remote = candidate("remote", false);
+  const std::vector<ProbedCandidate> Probed{{Local, load(1, 6, 1.1), true},
+                                            {Remote, load(1, 6), true}};
+  EXPECT_EQ(selectTarget(Probed), 0U);
+  EXPECT_EQ(selectTarget(Probed, {1, 1}), 1U);
+  EXPECT_EQ(selectTarget(Probed, {2, 1}), 0U);
+  Random Generator(20261204);
+  EXPECT_EQ(
+      selectProbeCandidates({Local, Remote}, 1, Generator, {1, 4}).front().Id,
+      Local.Id);
+  EXPECT_EQ(selectProbeCandidates({Local, Remote}, 1, Generator, {1, 0.25})
+                .front()
+                .Id,
+            Remote.Id);
+}
+
 // Guards against a new connection for nearly every probe in a fleet with
 // hundreds of targets, and against a subset that is kept while it is busy.
 TEST(TargetSelection, LocalTargetsOutsideTheSubsetAreProbedWhenItIsBusy) {
