LibPeer: Add summaries of the loads of failure domains

Hosts share the loads of targets only within their failure domain, so they cannot tell whether another domain has spare slots. The delegates of one domain can be listed without those of the others.

--- a/Libraries/LibMembership/DomainTable.cpp
+++ b/Libraries/LibMembership/DomainTable.cpp
@@ -60,6 +60,8 @@
   return stableHash({Text});
 }
 
+} // namespace
+
 std::vector<Endpoint> delegatesOf(const RemoteDomain &Domain) {
   if (Domain.Hosts.empty())
     return Domain.SeedContacts;
@@ -78,8 +80,6 @@
   return Delegates;
 }
 
-} // namespace
-
 bool isDelegate(const MemberTable &Members, TimePoint Now) {
   std::size_t Higher = 0;
   for (const Peer &Other : Members.Peers)
--- a/Libraries/LibMembership/DomainTable.h
+++ b/Libraries/LibMembership/DomainTable.h
@@ -122,6 +122,9 @@
 /// Adds a host that a seed has introduced as a contact of its domain.
 void addSeedContact(DomainTable &Table, const HostDescription &Contact);
 
+/// Returns the peer listeners of the delegates of one other domain.
+std::vector<Endpoint> delegatesOf(const RemoteDomain &Domain);
+
 /// Returns the peer listeners of the delegates of all other domains.
 std::vector<Endpoint> remoteDelegates(const DomainTable &Table);
 
--- a/Libraries/LibPeer/Codec.cpp
+++ b/Libraries/LibPeer/Codec.cpp
@@ -46,8 +46,13 @@
       Body.load_notice.loads.size() > Limit ||
       Body.load_notice.leaving.size() > Limit ||
       Body.load_notice.crashes.crashes.size() > Limit ||
-      Body.load_notice.crashes.answers.size() > Limit)
+      Body.load_notice.crashes.answers.size() > Limit ||
+      Body.load_notice.domains.summaries.size() > Limit ||
+      Body.load_notice.domains.wanted.size() > Limit)
     return true;
+  for (const auto &Summary : Body.load_notice.domains.summaries)
+    if (Summary.services.size() > Limit)
+      return true;
   if (!Body.__isset.heartbeat)
     return false;
   if (Body.heartbeat.known.size() > Limit ||
--- a/Libraries/LibPeer/Generated/Peer_types.cpp
+++ b/Libraries/LibPeer/Generated/Peer_types.cpp
@@ -4219,6 +4219,635 @@
   return *this;
 }
 
+ServiceSummary::~ServiceSummary() noexcept {
+}
+
+
+void ServiceSummary::__set_service_name(const std::string& val) {
+  this->service_name = val;
+}
+
+void ServiceSummary::__set_targets(const int32_t val) {
+  this->targets = val;
+}
+
+void ServiceSummary::__set_known_targets(const int32_t val) {
+  this->known_targets = val;
+}
+
+void ServiceSummary::__set_useful_slots(const int32_t val) {
+  this->useful_slots = val;
+}
+
+void ServiceSummary::__set_busy_slots(const int32_t val) {
+  this->busy_slots = val;
+}
+
+void ServiceSummary::__set_slowdown_percent(const int32_t val) {
+  this->slowdown_percent = val;
+}
+
+void ServiceSummary::__set_pressed(const bool val) {
+  this->pressed = val;
+__isset.pressed = true;
+}
+
+uint32_t ServiceSummary::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_service_name = false;
+  bool isset_targets = false;
+  bool isset_known_targets = false;
+  bool isset_useful_slots = false;
+  bool isset_busy_slots = false;
+  bool isset_slowdown_percent = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->service_name);
+          isset_service_name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->targets);
+          isset_targets = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->known_targets);
+          isset_known_targets = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->useful_slots);
+          isset_useful_slots = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->busy_slots);
+          isset_busy_slots = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->slowdown_percent);
+          isset_slowdown_percent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->pressed);
+          this->__isset.pressed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_service_name)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_targets)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_known_targets)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_useful_slots)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_busy_slots)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_slowdown_percent)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t ServiceSummary::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ServiceSummary");
+
+  xfer += oprot->writeFieldBegin("service_name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->service_name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->targets);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("known_targets", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->known_targets);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("useful_slots", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->useful_slots);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("busy_slots", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->busy_slots);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("slowdown_percent", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->slowdown_percent);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.pressed) {
+    xfer += oprot->writeFieldBegin("pressed", ::apache::thrift::protocol::T_BOOL, 7);
+    xfer += oprot->writeBool(this->pressed);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ServiceSummary &a, ServiceSummary &b) {
+  using ::std::swap;
+  swap(a.service_name, b.service_name);
+  swap(a.targets, b.targets);
+  swap(a.known_targets, b.known_targets);
+  swap(a.useful_slots, b.useful_slots);
+  swap(a.busy_slots, b.busy_slots);
+  swap(a.slowdown_percent, b.slowdown_percent);
+  swap(a.pressed, b.pressed);
+  swap(a.__isset, b.__isset);
+}
+
+ServiceSummary::ServiceSummary(const ServiceSummary& other113) {
+  service_name = other113.service_name;
+  targets = other113.targets;
+  known_targets = other113.known_targets;
+  useful_slots = other113.useful_slots;
+  busy_slots = other113.busy_slots;
+  slowdown_percent = other113.slowdown_percent;
+  pressed = other113.pressed;
+  __isset = other113.__isset;
+}
+ServiceSummary& ServiceSummary::operator=(const ServiceSummary& other114) {
+  service_name = other114.service_name;
+  targets = other114.targets;
+  known_targets = other114.known_targets;
+  useful_slots = other114.useful_slots;
+  busy_slots = other114.busy_slots;
+  slowdown_percent = other114.slowdown_percent;
+  pressed = other114.pressed;
+  __isset = other114.__isset;
+  return *this;
+}
+
+DomainSummary::~DomainSummary() noexcept {
+}
+
+
+void DomainSummary::__set_failure_domain(const std::string& val) {
+  this->failure_domain = val;
+}
+
+void DomainSummary::__set_age_ms(const int32_t val) {
+  this->age_ms = val;
+}
+
+void DomainSummary::__set_services(const std::vector<ServiceSummary> & val) {
+  this->services = val;
+}
+
+void DomainSummary::__set_delay_us(const int32_t val) {
+  this->delay_us = val;
+__isset.delay_us = true;
+}
+
+uint32_t DomainSummary::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_failure_domain = false;
+  bool isset_age_ms = false;
+  bool isset_services = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->failure_domain);
+          isset_failure_domain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->age_ms);
+          isset_age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->services.clear();
+            uint32_t _size115;
+            ::apache::thrift::protocol::TType _etype118;
+            xfer += iprot->readListBegin(_etype118, _size115);
+            this->services.resize(_size115);
+            uint32_t _i119;
+            for (_i119 = 0; _i119 < _size115; ++_i119)
+            {
+              xfer += this->services[_i119].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_services = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->delay_us);
+          this->__isset.delay_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_failure_domain)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_age_ms)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_services)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t DomainSummary::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("DomainSummary");
+
+  xfer += oprot->writeFieldBegin("failure_domain", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->failure_domain);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
+    std::vector<ServiceSummary> ::const_iterator _iter120;
+    for (_iter120 = this->services.begin(); _iter120 != this->services.end(); ++_iter120)
+    {
+      xfer += (*_iter120).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.delay_us) {
+    xfer += oprot->writeFieldBegin("delay_us", ::apache::thrift::protocol::T_I32, 4);
+    xfer += oprot->writeI32(this->delay_us);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(DomainSummary &a, DomainSummary &b) {
+  using ::std::swap;
+  swap(a.failure_domain, b.failure_domain);
+  swap(a.age_ms, b.age_ms);
+  swap(a.services, b.services);
+  swap(a.delay_us, b.delay_us);
+  swap(a.__isset, b.__isset);
+}
+
+DomainSummary::DomainSummary(const DomainSummary& other121) {
+  failure_domain = other121.failure_domain;
+  age_ms = other121.age_ms;
+  services = other121.services;
+  delay_us = other121.delay_us;
+  __isset = other121.__isset;
+}
+DomainSummary& DomainSummary::operator=(const DomainSummary& other122) {
+  failure_domain = other122.failure_domain;
+  age_ms = other122.age_ms;
+  services = other122.services;
+  delay_us = other122.delay_us;
+  __isset = other122.__isset;
+  return *this;
+}
+
+DomainNotice::~DomainNotice() noexcept {
+}
+
+
+void DomainNotice::__set_failure_domain(const std::string& val) {
+  this->failure_domain = val;
+}
+
+void DomainNotice::__set_summaries(const std::vector<DomainSummary> & val) {
+  this->summaries = val;
+}
+
+void DomainNotice::__set_wanted(const std::vector<std::string> & val) {
+  this->wanted = val;
+__isset.wanted = true;
+}
+
+void DomainNotice::__set_sent_us(const int64_t val) {
+  this->sent_us = val;
+__isset.sent_us = true;
+}
+
+void DomainNotice::__set_echo_us(const int64_t val) {
+  this->echo_us = val;
+__isset.echo_us = true;
+}
+
+void DomainNotice::__set_echo_held_us(const int64_t val) {
+  this->echo_held_us = val;
+__isset.echo_held_us = true;
+}
+
+void DomainNotice::__set_peer_address(const std::string& val) {
+  this->peer_address = val;
+__isset.peer_address = true;
+}
+
+uint32_t DomainNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_failure_domain = false;
+  bool isset_summaries = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->failure_domain);
+          isset_failure_domain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->summaries.clear();
+            uint32_t _size123;
+            ::apache::thrift::protocol::TType _etype126;
+            xfer += iprot->readListBegin(_etype126, _size123);
+            this->summaries.resize(_size123);
+            uint32_t _i127;
+            for (_i127 = 0; _i127 < _size123; ++_i127)
+            {
+              xfer += this->summaries[_i127].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_summaries = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->wanted.clear();
+            uint32_t _size128;
+            ::apache::thrift::protocol::TType _etype131;
+            xfer += iprot->readListBegin(_etype131, _size128);
+            this->wanted.resize(_size128);
+            uint32_t _i132;
+            for (_i132 = 0; _i132 < _size128; ++_i132)
+            {
+              xfer += iprot->readString(this->wanted[_i132]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.wanted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sent_us);
+          this->__isset.sent_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->echo_us);
+          this->__isset.echo_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->echo_held_us);
+          this->__isset.echo_held_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->peer_address);
+          this->__isset.peer_address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_failure_domain)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_summaries)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t DomainNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("DomainNotice");
+
+  xfer += oprot->writeFieldBegin("failure_domain", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->failure_domain);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("summaries", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->summaries.size()));
+    std::vector<DomainSummary> ::const_iterator _iter133;
+    for (_iter133 = this->summaries.begin(); _iter133 != this->summaries.end(); ++_iter133)
+    {
+      xfer += (*_iter133).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.wanted) {
+    xfer += oprot->writeFieldBegin("wanted", ::apache::thrift::protocol::T_LIST, 3);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->wanted.size()));
+      std::vector<std::string> ::const_iterator _iter134;
+      for (_iter134 = this->wanted.begin(); _iter134 != this->wanted.end(); ++_iter134)
+      {
+        xfer += oprot->writeString((*_iter134));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.sent_us) {
+    xfer += oprot->writeFieldBegin("sent_us", ::apache::thrift::protocol::T_I64, 4);
+    xfer += oprot->writeI64(this->sent_us);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.echo_us) {
+    xfer += oprot->writeFieldBegin("echo_us", ::apache::thrift::protocol::T_I64, 5);
+    xfer += oprot->writeI64(this->echo_us);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.echo_held_us) {
+    xfer += oprot->writeFieldBegin("echo_held_us", ::apache::thrift::protocol::T_I64, 6);
+    xfer += oprot->writeI64(this->echo_held_us);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.peer_address) {
+    xfer += oprot->writeFieldBegin("peer_address", ::apache::thrift::protocol::T_STRING, 7);
+    xfer += oprot->writeString(this->peer_address);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(DomainNotice &a, DomainNotice &b) {
+  using ::std::swap;
+  swap(a.failure_domain, b.failure_domain);
+  swap(a.summaries, b.summaries);
+  swap(a.wanted, b.wanted);
+  swap(a.sent_us, b.sent_us);
+  swap(a.echo_us, b.echo_us);
+  swap(a.echo_held_us, b.echo_held_us);
+  swap(a.peer_address, b.peer_address);
+  swap(a.__isset, b.__isset);
+}
+
+DomainNotice::DomainNotice(const DomainNotice& other135) {
+  failure_domain = other135.failure_domain;
+  summaries = other135.summaries;
+  wanted = other135.wanted;
+  sent_us = other135.sent_us;
+  echo_us = other135.echo_us;
+  echo_held_us = other135.echo_held_us;
+  peer_address = other135.peer_address;
+  __isset = other135.__isset;
+}
+DomainNotice& DomainNotice::operator=(const DomainNotice& other136) {
+  failure_domain = other136.failure_domain;
+  summaries = other136.summaries;
+  wanted = other136.wanted;
+  sent_us = other136.sent_us;
+  echo_us = other136.echo_us;
+  echo_held_us = other136.echo_held_us;
+  peer_address = other136.peer_address;
+  __isset = other136.__isset;
+  return *this;
+}
+
 LoadNotice::~LoadNotice() noexcept {
 }
 
@@ -4252,6 +4881,11 @@
 __isset.evacuations = true;
 }
 
+void LoadNotice::__set_domains(const DomainNotice& val) {
+  this->domains = val;
+__isset.domains = true;
+}
+
 uint32_t LoadNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
@@ -4278,14 +4912,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size113;
-            ::apache::thrift::protocol::TType _etype116;
-            xfer += iprot->readListBegin(_etype116, _size113);
-            this->loads.resize(_size113);
-            uint32_t _i117;
-            for (_i117 = 0; _i117 < _size113; ++_i117)
+            uint32_t _size137;
+            ::apache::thrift::protocol::TType _etype140;
+            xfer += iprot->readListBegin(_etype140, _size137);
+            this->loads.resize(_size137);
+            uint32_t _i141;
+            for (_i141 = 0; _i141 < _size137; ++_i141)
             {
-              xfer += this->loads[_i117].read(iprot);
+              xfer += this->loads[_i141].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4298,14 +4932,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->outcomes.clear();
-            uint32_t _size118;
-            ::apache::thrift::protocol::TType _etype121;
-            xfer += iprot->readListBegin(_etype121, _size118);
-            this->outcomes.resize(_size118);
-            uint32_t _i122;
-            for (_i122 = 0; _i122 < _size118; ++_i122)
+            uint32_t _size142;
+            ::apache::thrift::protocol::TType _etype145;
+            xfer += iprot->readListBegin(_etype145, _size142);
+            this->outcomes.resize(_size142);
+            uint32_t _i146;
+            for (_i146 = 0; _i146 < _size142; ++_i146)
             {
-              xfer += this->outcomes[_i122].read(iprot);
+              xfer += this->outcomes[_i146].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4318,14 +4952,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving.clear();
-            uint32_t _size123;
-            ::apache::thrift::protocol::TType _etype126;
-            xfer += iprot->readListBegin(_etype126, _size123);
-            this->leaving.resize(_size123);
-            uint32_t _i127;
-            for (_i127 = 0; _i127 < _size123; ++_i127)
+            uint32_t _size147;
+            ::apache::thrift::protocol::TType _etype150;
+            xfer += iprot->readListBegin(_etype150, _size147);
+            this->leaving.resize(_size147);
+            uint32_t _i151;
+            for (_i151 = 0; _i151 < _size147; ++_i151)
             {
-              xfer += this->leaving[_i127].read(iprot);
+              xfer += this->leaving[_i151].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4346,14 +4980,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->cold.clear();
-            uint32_t _size128;
-            ::apache::thrift::protocol::TType _etype131;
-            xfer += iprot->readListBegin(_etype131, _size128);
-            this->cold.resize(_size128);
-            uint32_t _i132;
-            for (_i132 = 0; _i132 < _size128; ++_i132)
+            uint32_t _size152;
+            ::apache::thrift::protocol::TType _etype155;
+            xfer += iprot->readListBegin(_etype155, _size152);
+            this->cold.resize(_size152);
+            uint32_t _i156;
+            for (_i156 = 0; _i156 < _size152; ++_i156)
             {
-              xfer += this->cold[_i132].read(iprot);
+              xfer += this->cold[_i156].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4370,6 +5004,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->domains.read(iprot);
+          this->__isset.domains = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4392,10 +5034,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<ObservedLoad> ::const_iterator _iter133;
-    for (_iter133 = this->loads.begin(); _iter133 != this->loads.end(); ++_iter133)
+    std::vector<ObservedLoad> ::const_iterator _iter157;
+    for (_iter157 = this->loads.begin(); _iter157 != this->loads.end(); ++_iter157)
     {
-      xfer += (*_iter133).write(oprot);
+      xfer += (*_iter157).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4405,10 +5047,10 @@
     xfer += oprot->writeFieldBegin("outcomes", ::apache::thrift::protocol::T_LIST, 2);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->outcomes.size()));
-      std::vector<ObservedOutcomes> ::const_iterator _iter134;
-      for (_iter134 = this->outcomes.begin(); _iter134 != this->outcomes.end(); ++_iter134)
+      std::vector<ObservedOutcomes> ::const_iterator _iter158;
+      for (_iter158 = this->outcomes.begin(); _iter158 != this->outcomes.end(); ++_iter158)
       {
-        xfer += (*_iter134).write(oprot);
+        xfer += (*_iter158).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -4418,10 +5060,10 @@
     xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_LIST, 3);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leaving.size()));
-      std::vector<LeavingTarget> ::const_iterator _iter135;
-      for (_iter135 = this->leaving.begin(); _iter135 != this->leaving.end(); ++_iter135)
+      std::vector<LeavingTarget> ::const_iterator _iter159;
+      for (_iter159 = this->leaving.begin(); _iter159 != this->leaving.end(); ++_iter159)
       {
-        xfer += (*_iter135).write(oprot);
+        xfer += (*_iter159).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -4436,10 +5078,10 @@
     xfer += oprot->writeFieldBegin("cold", ::apache::thrift::protocol::T_LIST, 5);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->cold.size()));
-      std::vector<ColdTarget> ::const_iterator _iter136;
-      for (_iter136 = this->cold.begin(); _iter136 != this->cold.end(); ++_iter136)
+      std::vector<ColdTarget> ::const_iterator _iter160;
+      for (_iter160 = this->cold.begin(); _iter160 != this->cold.end(); ++_iter160)
       {
-        xfer += (*_iter136).write(oprot);
+        xfer += (*_iter160).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -4450,6 +5092,11 @@
     xfer += this->evacuations.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.domains) {
+    xfer += oprot->writeFieldBegin("domains", ::apache::thrift::protocol::T_STRUCT, 7);
+    xfer += this->domains.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4463,26 +5110,29 @@
   swap(a.crashes, b.crashes);
   swap(a.cold, b.cold);
   swap(a.evacuations, b.evacuations);
+  swap(a.domains, b.domains);
   swap(a.__isset, b.__isset);
 }
 
-LoadNotice::LoadNotice(const LoadNotice& other137) {
-  loads = other137.loads;
-  outcomes = other137.outcomes;
-  leaving = other137.leaving;
-  crashes = other137.crashes;
-  cold = other137.cold;
-  evacuations = other137.evacuations;
-  __isset = other137.__isset;
-}
-LoadNotice& LoadNotice::operator=(const LoadNotice& other138) {
-  loads = other138.loads;
-  outcomes = other138.outcomes;
-  leaving = other138.leaving;
-  crashes = other138.crashes;
-  cold = other138.cold;
-  evacuations = other138.evacuations;
-  __isset = other138.__isset;
+LoadNotice::LoadNotice(const LoadNotice& other161) {
+  loads = other161.loads;
+  outcomes = other161.outcomes;
+  leaving = other161.leaving;
+  crashes = other161.crashes;
+  cold = other161.cold;
+  evacuations = other161.evacuations;
+  domains = other161.domains;
+  __isset = other161.__isset;
+}
+LoadNotice& LoadNotice::operator=(const LoadNotice& other162) {
+  loads = other162.loads;
+  outcomes = other162.outcomes;
+  leaving = other162.leaving;
+  crashes = other162.crashes;
+  cold = other162.cold;
+  evacuations = other162.evacuations;
+  domains = other162.domains;
+  __isset = other162.__isset;
   return *this;
 }
 
@@ -4551,14 +5201,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size139;
-            ::apache::thrift::protocol::TType _etype142;
-            xfer += iprot->readListBegin(_etype142, _size139);
-            this->records.resize(_size139);
-            uint32_t _i143;
-            for (_i143 = 0; _i143 < _size139; ++_i143)
+            uint32_t _size163;
+            ::apache::thrift::protocol::TType _etype166;
+            xfer += iprot->readListBegin(_etype166, _size163);
+            this->records.resize(_size163);
+            uint32_t _i167;
+            for (_i167 = 0; _i167 < _size163; ++_i167)
             {
-              xfer += this->records[_i143].read(iprot);
+              xfer += this->records[_i167].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4571,14 +5221,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->departed.clear();
-            uint32_t _size144;
-            ::apache::thrift::protocol::TType _etype147;
-            xfer += iprot->readListBegin(_etype147, _size144);
-            this->departed.resize(_size144);
-            uint32_t _i148;
-            for (_i148 = 0; _i148 < _size144; ++_i148)
+            uint32_t _size168;
+            ::apache::thrift::protocol::TType _etype171;
+            xfer += iprot->readListBegin(_etype171, _size168);
+            this->departed.resize(_size168);
+            uint32_t _i172;
+            for (_i172 = 0; _i172 < _size168; ++_i172)
             {
-              xfer += this->departed[_i148].read(iprot);
+              xfer += this->departed[_i172].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4621,10 +5271,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<TargetRecord> ::const_iterator _iter149;
-    for (_iter149 = this->records.begin(); _iter149 != this->records.end(); ++_iter149)
+    std::vector<TargetRecord> ::const_iterator _iter173;
+    for (_iter173 = this->records.begin(); _iter173 != this->records.end(); ++_iter173)
     {
-      xfer += (*_iter149).write(oprot);
+      xfer += (*_iter173).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4634,10 +5284,10 @@
     xfer += oprot->writeFieldBegin("departed", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->departed.size()));
-      std::vector<TargetRecord> ::const_iterator _iter150;
-      for (_iter150 = this->departed.begin(); _iter150 != this->departed.end(); ++_iter150)
+      std::vector<TargetRecord> ::const_iterator _iter174;
+      for (_iter174 = this->departed.begin(); _iter174 != this->departed.end(); ++_iter174)
       {
-        xfer += (*_iter150).write(oprot);
+        xfer += (*_iter174).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -4657,19 +5307,19 @@
   swap(a.__isset, b.__isset);
 }
 
-TargetUpdate::TargetUpdate(const TargetUpdate& other151) {
-  base_revision = other151.base_revision;
-  revision = other151.revision;
-  records = other151.records;
-  departed = other151.departed;
-  __isset = other151.__isset;
+TargetUpdate::TargetUpdate(const TargetUpdate& other175) {
+  base_revision = other175.base_revision;
+  revision = other175.revision;
+  records = other175.records;
+  departed = other175.departed;
+  __isset = other175.__isset;
 }
-TargetUpdate& TargetUpdate::operator=(const TargetUpdate& other152) {
-  base_revision = other152.base_revision;
-  revision = other152.revision;
-  records = other152.records;
-  departed = other152.departed;
-  __isset = other152.__isset;
+TargetUpdate& TargetUpdate::operator=(const TargetUpdate& other176) {
+  base_revision = other176.base_revision;
+  revision = other176.revision;
+  records = other176.records;
+  departed = other176.departed;
+  __isset = other176.__isset;
   return *this;
 }
 
@@ -5067,47 +5717,47 @@
   swap(a.__isset, b.__isset);
 }
 
-PeerBody::PeerBody(const PeerBody& other153) {
-  heartbeat = other153.heartbeat;
-  document_request = other153.document_request;
-  document_reply = other153.document_reply;
-  grant_request = other153.grant_request;
-  grant_reply = other153.grant_reply;
-  seal_request = other153.seal_request;
-  seal_reply = other153.seal_reply;
-  outcome_notice = other153.outcome_notice;
-  crash_evidence = other153.crash_evidence;
-  error = other153.error;
-  probe_notice = other153.probe_notice;
-  domain_report = other153.domain_report;
-  join_request = other153.join_request;
-  introduction = other153.introduction;
-  target_update = other153.target_update;
-  load_notice = other153.load_notice;
-  token_request = other153.token_request;
-  token_grant = other153.token_grant;
-  __isset = other153.__isset;
-}
-PeerBody& PeerBody::operator=(const PeerBody& other154) {
-  heartbeat = other154.heartbeat;
-  document_request = other154.document_request;
-  document_reply = other154.document_reply;
-  grant_request = other154.grant_request;
-  grant_reply = other154.grant_reply;
-  seal_request = other154.seal_request;
-  seal_reply = other154.seal_reply;
-  outcome_notice = other154.outcome_notice;
-  crash_evidence = other154.crash_evidence;
-  error = other154.error;
-  probe_notice = other154.probe_notice;
-  domain_report = other154.domain_report;
-  join_request = other154.join_request;
-  introduction = other154.introduction;
-  target_update = other154.target_update;
-  load_notice = other154.load_notice;
-  token_request = other154.token_request;
-  token_grant = other154.token_grant;
-  __isset = other154.__isset;
+PeerBody::PeerBody(const PeerBody& other177) {
+  heartbeat = other177.heartbeat;
+  document_request = other177.document_request;
+  document_reply = other177.document_reply;
+  grant_request = other177.grant_request;
+  grant_reply = other177.grant_reply;
+  seal_request = other177.seal_request;
+  seal_reply = other177.seal_reply;
+  outcome_notice = other177.outcome_notice;
+  crash_evidence = other177.crash_evidence;
+  error = other177.error;
+  probe_notice = other177.probe_notice;
+  domain_report = other177.domain_report;
+  join_request = other177.join_request;
+  introduction = other177.introduction;
+  target_update = other177.target_update;
+  load_notice = other177.load_notice;
+  token_request = other177.token_request;
+  token_grant = other177.token_grant;
+  __isset = other177.__isset;
+}
+PeerBody& PeerBody::operator=(const PeerBody& other178) {
+  heartbeat = other178.heartbeat;
+  document_request = other178.document_request;
+  document_reply = other178.document_reply;
+  grant_request = other178.grant_request;
+  grant_reply = other178.grant_reply;
+  seal_request = other178.seal_request;
+  seal_reply = other178.seal_reply;
+  outcome_notice = other178.outcome_notice;
+  crash_evidence = other178.crash_evidence;
+  error = other178.error;
+  probe_notice = other178.probe_notice;
+  domain_report = other178.domain_report;
+  join_request = other178.join_request;
+  introduction = other178.introduction;
+  target_update = other178.target_update;
+  load_notice = other178.load_notice;
+  token_request = other178.token_request;
+  token_grant = other178.token_grant;
+  __isset = other178.__isset;
   return *this;
 }
 
@@ -5202,13 +5852,13 @@
   swap(a.body, b.body);
 }
 
-PeerMessage::PeerMessage(const PeerMessage& other155) {
-  correlation = other155.correlation;
-  body = other155.body;
+PeerMessage::PeerMessage(const PeerMessage& other179) {
+  correlation = other179.correlation;
+  body = other179.body;
 }
-PeerMessage& PeerMessage::operator=(const PeerMessage& other156) {
-  correlation = other156.correlation;
-  body = other156.body;
+PeerMessage& PeerMessage::operator=(const PeerMessage& other180) {
+  correlation = other180.correlation;
+  body = other180.body;
   return *this;
 }
 }} // namespace
--- a/Libraries/LibPeer/Generated/Peer_types.h
+++ b/Libraries/LibPeer/Generated/Peer_types.h
@@ -142,6 +142,12 @@
 
 class ColdTarget;
 
+class ServiceSummary;
+
+class DomainSummary;
+
+class DomainNotice;
+
 class LoadNotice;
 
 class TargetUpdate;
@@ -1799,13 +1805,245 @@
 
 std::ostream& operator<<(std::ostream& out, const ColdTarget& obj);
 
+typedef struct _ServiceSummary__isset {
+  _ServiceSummary__isset() : pressed(false) {}
+  bool pressed :1;
+} _ServiceSummary__isset;
+
+class ServiceSummary : public virtual ::apache::thrift::TBase {
+ public:
+
+  ServiceSummary(const ServiceSummary&);
+  ServiceSummary& operator=(const ServiceSummary&);
+  ServiceSummary() noexcept
+                 : service_name(),
+                   targets(0),
+                   known_targets(0),
+                   useful_slots(0),
+                   busy_slots(0),
+                   slowdown_percent(0),
+                   pressed(0) {
+  }
+
+  virtual ~ServiceSummary() noexcept;
+  std::string service_name;
+  int32_t targets;
+  int32_t known_targets;
+  int32_t useful_slots;
+  int32_t busy_slots;
+  int32_t slowdown_percent;
+  bool pressed;
+
+  _ServiceSummary__isset __isset;
+
+  void __set_service_name(const std::string& val);
+
+  void __set_targets(const int32_t val);
+
+  void __set_known_targets(const int32_t val);
+
+  void __set_useful_slots(const int32_t val);
+
+  void __set_busy_slots(const int32_t val);
+
+  void __set_slowdown_percent(const int32_t val);
+
+  void __set_pressed(const bool val);
+
+  bool operator == (const ServiceSummary & rhs) const
+  {
+    if (!(service_name == rhs.service_name))
+      return false;
+    if (!(targets == rhs.targets))
+      return false;
+    if (!(known_targets == rhs.known_targets))
+      return false;
+    if (!(useful_slots == rhs.useful_slots))
+      return false;
+    if (!(busy_slots == rhs.busy_slots))
+      return false;
+    if (!(slowdown_percent == rhs.slowdown_percent))
+      return false;
+    if (__isset.pressed != rhs.__isset.pressed)
+      return false;
+    else if (__isset.pressed && !(pressed == rhs.pressed))
+      return false;
+    return true;
+  }
+  bool operator != (const ServiceSummary &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ServiceSummary & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+};
+
+void swap(ServiceSummary &a, ServiceSummary &b);
+
+std::ostream& operator<<(std::ostream& out, const ServiceSummary& obj);
+
+typedef struct _DomainSummary__isset {
+  _DomainSummary__isset() : delay_us(false) {}
+  bool delay_us :1;
+} _DomainSummary__isset;
+
+class DomainSummary : public virtual ::apache::thrift::TBase {
+ public:
+
+  DomainSummary(const DomainSummary&);
+  DomainSummary& operator=(const DomainSummary&);
+  DomainSummary() noexcept
+                : failure_domain(),
+                  age_ms(0),
+                  delay_us(0) {
+  }
+
+  virtual ~DomainSummary() noexcept;
+  std::string failure_domain;
+  int32_t age_ms;
+  std::vector<ServiceSummary>  services;
+  int32_t delay_us;
+
+  _DomainSummary__isset __isset;
+
+  void __set_failure_domain(const std::string& val);
+
+  void __set_age_ms(const int32_t val);
+
+  void __set_services(const std::vector<ServiceSummary> & val);
+
+  void __set_delay_us(const int32_t val);
+
+  bool operator == (const DomainSummary & rhs) const
+  {
+    if (!(failure_domain == rhs.failure_domain))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    if (!(services == rhs.services))
+      return false;
+    if (__isset.delay_us != rhs.__isset.delay_us)
+      return false;
+    else if (__isset.delay_us && !(delay_us == rhs.delay_us))
+      return false;
+    return true;
+  }
+  bool operator != (const DomainSummary &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const DomainSummary & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+};
+
+void swap(DomainSummary &a, DomainSummary &b);
+
+std::ostream& operator<<(std::ostream& out, const DomainSummary& obj);
+
+typedef struct _DomainNotice__isset {
+  _DomainNotice__isset() : wanted(false), sent_us(false), echo_us(false), echo_held_us(false), peer_address(false) {}
+  bool wanted :1;
+  bool sent_us :1;
+  bool echo_us :1;
+  bool echo_held_us :1;
+  bool peer_address :1;
+} _DomainNotice__isset;
+
+class DomainNotice : public virtual ::apache::thrift::TBase {
+ public:
+
+  DomainNotice(const DomainNotice&);
+  DomainNotice& operator=(const DomainNotice&);
+  DomainNotice() noexcept
+               : failure_domain(),
+                 sent_us(0),
+                 echo_us(0),
+                 echo_held_us(0),
+                 peer_address() {
+  }
+
+  virtual ~DomainNotice() noexcept;
+  std::string failure_domain;
+  std::vector<DomainSummary>  summaries;
+  std::vector<std::string>  wanted;
+  int64_t sent_us;
+  int64_t echo_us;
+  int64_t echo_held_us;
+  std::string peer_address;
+
+  _DomainNotice__isset __isset;
+
+  void __set_failure_domain(const std::string& val);
+
+  void __set_summaries(const std::vector<DomainSummary> & val);
+
+  void __set_wanted(const std::vector<std::string> & val);
+
+  void __set_sent_us(const int64_t val);
+
+  void __set_echo_us(const int64_t val);
+
+  void __set_echo_held_us(const int64_t val);
+
+  void __set_peer_address(const std::string& val);
+
+  bool operator == (const DomainNotice & rhs) const
+  {
+    if (!(failure_domain == rhs.failure_domain))
+      return false;
+    if (!(summaries == rhs.summaries))
+      return false;
+    if (__isset.wanted != rhs.__isset.wanted)
+      return false;
+    else if (__isset.wanted && !(wanted == rhs.wanted))
+      return false;
+    if (__isset.sent_us != rhs.__isset.sent_us)
+      return false;
+    else if (__isset.sent_us && !(sent_us == rhs.sent_us))
+      return false;
+    if (__isset.echo_us != rhs.__isset.echo_us)
+      return false;
+    else if (__isset.echo_us && !(echo_us == rhs.echo_us))
+      return false;
+    if (__isset.echo_held_us != rhs.__isset.echo_held_us)
+      return false;
+    else if (__isset.echo_held_us && !(echo_held_us == rhs.echo_held_us))
+      return false;
+    if (__isset.peer_address != rhs.__isset.peer_address)
+      return false;
+    else if (__isset.peer_address && !(peer_address == rhs.peer_address))
+      return false;
+    return true;
+  }
+  bool operator != (const DomainNotice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const DomainNotice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+};
+
+void swap(DomainNotice &a, DomainNotice &b);
+
+std::ostream& operator<<(std::ostream& out, const DomainNotice& obj);
+
 typedef struct _LoadNotice__isset {
-  _LoadNotice__isset() : outcomes(false), leaving(false), crashes(false), cold(false), evacuations(false) {}
+  _LoadNotice__isset() : outcomes(false), leaving(false), crashes(false), cold(false), evacuations(false), domains(false) {}
   bool outcomes :1;
   bool leaving :1;
   bool crashes :1;
   bool cold :1;
   bool evacuations :1;
+  bool domains :1;
 } _LoadNotice__isset;
 
 class LoadNotice : public virtual ::apache::thrift::TBase {
@@ -1823,6 +2061,7 @@
   CrashNotice crashes;
   std::vector<ColdTarget>  cold;
   EvacuationList evacuations;
+  DomainNotice domains;
 
   _LoadNotice__isset __isset;
 
@@ -1838,6 +2077,8 @@
 
   void __set_evacuations(const EvacuationList& val);
 
+  void __set_domains(const DomainNotice& val);
+
   bool operator == (const LoadNotice & rhs) const
   {
     if (!(loads == rhs.loads))
@@ -1862,6 +2103,10 @@
       return false;
     else if (__isset.evacuations && !(evacuations == rhs.evacuations))
       return false;
+    if (__isset.domains != rhs.__isset.domains)
+      return false;
+    else if (__isset.domains && !(domains == rhs.domains))
+      return false;
     return true;
   }
   bool operator != (const LoadNotice &rhs) const {
--- a/Libraries/LibPeer/Peer.thrift
+++ b/Libraries/LibPeer/Peer.thrift
@@ -247,6 +247,45 @@
   3: required i32 left_ms
 }
 
+// Load of one service in one failure domain: sums over the targets that may
+// receive requests and are not cold.
+struct ServiceSummary {
+  1: required string service_name
+  2: required i32 targets
+  // Targets whose load is known; the slots are summed over these only.
+  3: required i32 known_targets
+  4: required i32 useful_slots
+  5: required i32 busy_slots
+  // Mean over the targets whose load is known.
+  6: required i32 slowdown_percent
+  // The requests of the failure domain need more slots than it has.
+  7: optional bool pressed
+}
+
+struct DomainSummary {
+  1: required string failure_domain
+  2: required i32 age_ms
+  3: required list<ServiceSummary> services
+  // One-way delay from the failure domain of the sender, in a relayed notice.
+  4: optional i32 delay_us
+}
+
+// Summaries that the delegates of a failure domain send to those of the others,
+// and that one of the receivers relays within its own failure domain.
+struct DomainNotice {
+  1: required string failure_domain
+  2: required list<DomainSummary> summaries
+  // Services for which the sender's failure domain needs summaries of the others.
+  3: optional list<string> wanted
+  // Time of the sender's clock, which the receiver returns together with the time
+  // for which it held the notice.
+  4: optional i64 sent_us
+  5: optional i64 echo_us
+  6: optional i64 echo_held_us
+  // Peer listener of the sender.
+  7: optional string peer_address
+}
+
 // Loads and results that a host has observed since its last notice, sent to the
 // hosts of its failure domain.
 struct LoadNotice {
@@ -259,6 +298,8 @@
   4: optional CrashNotice crashes
   5: optional list<ColdTarget> cold
   6: optional EvacuationList evacuations
+  // Sent in notices of their own, also to other failure domains.
+  7: optional DomainNotice domains
 }
 
 // Delta of the targets between two revisions; with base revision 0, the complete
