--- a/Services/Gateway/GatewaySettings.cpp
+++ b/Services/Gateway/GatewaySettings.cpp
@@ -12,6 +12,7 @@
 constexpr double MemoryLimitMinimum = 32;
 constexpr double MemoryLimitMaximum = 1e6;
 constexpr double BytesPerMegabyte = 1e6;
+constexpr double BytePriceMaximum = 1;
 
 void readSeconds(JsonReader Reader, Duration &Out) {
   double Seconds = 0;
@@ -37,6 +38,19 @@
   return bytesOf(Megabytes);
 }
 
+Result<double> parseBytePrice(std::string_view Text) {
+  double Price = 0;
+  const auto [End, Code] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Price);
+  if (Code != std::errc{} || End != Text.data() + Text.size() ||
+      !(Price >= 0 && Price <= BytePriceMaximum))
+    return Error{ErrorKind::InvalidInput,
+                 "'" + std::string(Text) +
+                     "' is no price of a byte; name it as a part of the value "
+                     "of an answered request, from 0 to 1"};
+  return Price;
+}
+
 } // namespace
 
 Result<GatewaySettings> parseGatewaySettings(std::string_view Text) {
@@ -73,6 +87,9 @@
       .number(Out.ProbesPerTargetPerSecond, 0, 1e6);
   readSeconds(Root.optional("target_pause_maximum_s"),
               Out.TargetPauses.Maximum);
+  double BytePrice = 0;
+  if (Root.optional("domain_byte_price").number(BytePrice, 0, BytePriceMaximum))
+    Out.DomainBytePrice = BytePrice;
   Root.optional("log_level")
       .enumeration<LogLevel>(Out.Level, {{"debug", LogLevel::Debug},
                                          {"info", LogLevel::Info},
@@ -99,6 +116,13 @@
     else
       Fault = Address.error();
   }
+  if (!Configured.DomainBytePrice && !Environment.DomainBytePrice.empty()) {
+    const auto Price = parseBytePrice(Environment.DomainBytePrice);
+    if (Price)
+      Configured.DomainBytePrice = Price.value();
+    else
+      Fault = Price.error();
+  }
   if (Fault)
     return *Fault;
   return outcome::success();
--- a/Services/Gateway/GatewaySettings.h
+++ b/Services/Gateway/GatewaySettings.h
@@ -44,6 +44,10 @@
   double ProbesPerTargetPerSecond = 0;
   /// Limits the pauses that targets ask for.
   PausePolicy TargetPauses;
+  /// Price of a byte that crosses failure domains, as a part of the value of an
+  /// answered request. Without it, requests leave their failure domain by fixed
+  /// factors.
+  std::optional<double> DomainBytePrice;
   LogLevel Level = LogLevel::Info;
 };
 
@@ -53,6 +57,7 @@
   std::string MetricsAddress;
   /// In megabytes.
   std::string MemoryLimit;
+  std::string DomainBytePrice = {};
 };
 
 /// Parses and validates settings. Fails with InvalidInput; the message lists
--- a/Tests/Gateway/TestGatewaySettings.cpp
+++ b/Tests/Gateway/TestGatewaySettings.cpp
@@ -79,6 +79,26 @@
   EXPECT_EQ(Named.value().MemoryLimit, 128'000'000U);
 }
 
+// Guards against a price that is ignored, taken from the environment although
+// the file names one, or not checked; a wrong price moves all traffic.
+TEST(GatewaySettings, ReadsThePriceOfBytesBetweenDomains) {
+  auto Read = parseGatewaySettings(Valid);
+  ASSERT_TRUE(Read) << Read.error().Message;
+  EXPECT_EQ(Read.value().DomainBytePrice, std::nullopt);
+  for (const char *Text : {"cheap", "1e-6 EUR", "-1", "nan", "2"})
+    EXPECT_FALSE(applyEnvironment(Read.value(), {"", "", Text})) << Text;
+  EXPECT_EQ(Read.value().DomainBytePrice, std::nullopt);
+  EXPECT_TRUE(applyEnvironment(Read.value(), {"", "", "2e-6"}));
+  EXPECT_EQ(Read.value().DomainBytePrice, 2e-6);
+
+  const std::string Fields(Valid.substr(0, Valid.size() - 1));
+  auto Named = parseGatewaySettings(Fields + R"(,"domain_byte_price":1e-7})");
+  ASSERT_TRUE(Named) << Named.error().Message;
+  EXPECT_TRUE(applyEnvironment(Named.value(), {"", "", "2e-6"}));
+  EXPECT_EQ(Named.value().DomainBytePrice, 1e-7);
+  EXPECT_FALSE(parseGatewaySettings(Fields + R"(,"domain_byte_price":-1})"));
+}
+
 // Guards against reporting only the first error, which would make an operator
 // correct them one by one.
 TEST(GatewaySettings, AllErrorsAreReportedAtOnce) {
