Gateway: Decide per service which requests leave the failure domain

DomainRouting updates the decision of LibDomainChoice for each service every 250 ms from the loads that the host knows, and DomainExchange lets the delegates of the domains exchange summaries of the services that need help. RequestExecution passes the factors and the destination of a request to target selection. Both exist only with a byte price; without it no message is sent and the factors are those of before.

--- /dev/null
+++ b/Services/Gateway/DomainRouting.cpp
@@ -0,0 +1,255 @@
+#include "DomainRouting.h"
+
+#include <algorithm>
+#include <set>
+
+namespace comfreyrill {
+
+namespace {
+
+// Weight of one response in the mean size of the responses of a route.
+constexpr double ResponseBytesWeight = 0.05;
+// Reports between domains arrive three times in this time.
+constexpr Duration DomainSilentAfter = std::chrono::seconds(3);
+
+std::string metricName(std::string_view Name, const ServiceName &Service) {
+  return std::string(Name) + "{service=\"" + Service.Value + "\"}";
+}
+
+void addTarget(DomainLoad &Sum, const TargetCandidate &Target) {
+  ++Sum.Targets;
+  if (!Target.LastLoad || Target.LoadAge > DomainLoadAgeMaximum)
+    return;
+  const LoadReport &Load = *Target.LastLoad;
+  const std::uint32_t Useful = usefulSlots(Load.Slots);
+  Sum.UsefulSlots += Useful;
+  Sum.BusySlots += std::min(Load.InFlight + Load.Queued, Useful);
+  Sum.Slowdown +=
+      (Load.Slowdown - Sum.Slowdown) / static_cast<double>(++Sum.KnownTargets);
+}
+
+// A few known targets say little about the others.
+bool isMostlyKnown(const DomainLoad &Load) {
+  return 2 * Load.KnownTargets >= Load.Targets;
+}
+
+} // namespace
+
+DomainRouting::DomainRouting(const GatewayDependencies &Dependencies,
+                             const DomainTable &Domains, double BytePrice)
+    : Dependencies(Dependencies), Domains(Domains), BytePrice(BytePrice),
+      UpdateTimer(Dependencies.Context) {}
+
+void DomainRouting::start() {
+  asio::co_spawn(
+      Dependencies.Context, [Self = shared_from_this()] { return Self->run(); },
+      asio::detached);
+}
+
+Awaitable<void> DomainRouting::run() {
+  while (true) {
+    UpdateTimer.expires_after(DomainChoiceInterval);
+    const auto [Code] = co_await UpdateTimer.async_wait(UseTuple);
+    if (Code)
+      co_return;
+    update();
+  }
+}
+
+void DomainRouting::update() {
+  for (auto &[Service, Entry] : Services)
+    updateService(Service, Entry);
+}
+
+// The candidates leave out targets that are not to be used, for whatever
+// reason; a domain whose targets are all left out counts as without targets.
+std::map<FailureDomain, DomainLoad>
+DomainRouting::knownLoads(const ServiceName &Service, double *InFlight) {
+  GatewayState &CurrentState = Dependencies.CurrentState;
+  std::map<FailureDomain, DomainLoad> Loads;
+  Loads[Dependencies.HostDomain];
+  const CandidateList Listed =
+      CurrentState.candidates(Service, Dependencies.HostDomain);
+  for (const TargetCandidate &Target : Listed.Targets) {
+    if (InFlight != nullptr)
+      *InFlight += Target.OwnInFlight;
+    if (!Target.IsCold && !Target.IsSuspect)
+      addTarget(Loads[CurrentState.targets()
+                          .Targets.at(Target.Id)
+                          .Registration.Domain],
+                Target);
+  }
+  return Loads;
+}
+
+void DomainRouting::updateService(const ServiceName &Service,
+                                  ServiceRouting &Entry) {
+  const TimePoint Now = Dependencies.TimeSource.now();
+  DomainChoiceInput Input;
+  Input.Received = std::exchange(Entry.Received, 0);
+  Input.Refused = std::exchange(Entry.Refused, 0);
+  Input.Waiting = Entry.Waiting;
+  Input.WorkTime = Dependencies.CurrentState.serviceStats(Service).WorkTime;
+  for (const auto &[Domain, Load] : knownLoads(Service, &Input.InFlight)) {
+    DomainCondition Condition;
+    Condition.Domain = Domain;
+    Condition.Load = Load;
+    if (Domain == Dependencies.HostDomain) {
+      Input.Own = Condition;
+      continue;
+    }
+    const auto Reported = Entry.Reports.find(Domain);
+    const bool IsReported =
+        Reported != Entry.Reports.end() &&
+        Now - Reported->second.ObservedAt <= DomainLoadAgeMaximum;
+    if (IsReported) {
+      Condition.Load = Reported->second.Load;
+      Condition.Age = Now - Reported->second.ObservedAt;
+      Condition.Delay = Reported->second.Delay;
+    } else if (!isMostlyKnown(Load)) {
+      Condition.Load.KnownTargets = 0;
+    }
+    const auto Known = Domains.Domains.find(Domain);
+    Condition.IsSilent = Known == Domains.Domains.end() ||
+                         !Known->second.HeardAt ||
+                         Now - *Known->second.HeardAt > DomainSilentAfter;
+    Input.Others.push_back(Condition);
+  }
+  const bool WasSending = !Entry.State.Shares.empty();
+  updateDomainChoice(Entry.State, Input, Now);
+  Dependencies.ProcessMetrics.setGauge(
+      metricName("domain_leaving_share", Service), leavingShare(Entry.State));
+  logChange(Service, Entry.State, WasSending);
+}
+
+void DomainRouting::logChange(const ServiceName &Service,
+                              const DomainChoiceState &State, bool WasSending) {
+  const bool IsSending = !State.Shares.empty();
+  if (IsSending == WasSending)
+    return;
+  const std::string_view Event =
+      IsSending ? "domain_sending_begin" : "domain_sending_end";
+  LogLine Line(Event);
+  Line.field("service", Service.Value)
+      .field("failure_domain", Dependencies.HostDomain.Value);
+  if (IsSending) {
+    std::string Destinations;
+    for (const DomainShare &Entry : State.Shares)
+      Destinations += (Destinations.empty() ? "" : ",") + Entry.Domain.Value;
+    Line.field("destinations", Destinations)
+        .field("percent", static_cast<std::uint64_t>(100 * leavingShare(State)))
+        .field("own_targets", !State.IsOwnLost);
+  }
+  Dependencies.Events.write(LogLevel::Info, Event, Line);
+}
+
+RequestChoice DomainRouting::choose(const ServiceName &Service,
+                                    const Route &Matched,
+                                    std::size_t RequestBytes, Duration Waited) {
+  const bool IsNew = !Services.contains(Service);
+  ServiceRouting &Entry = Services[Service];
+  // Without this, the first requests of a host without own targets would wait
+  // for the next update.
+  if (IsNew)
+    updateService(Service, Entry);
+  ++Entry.Received;
+  LeavingRequest Request;
+  Request.Bytes = static_cast<double>(RequestBytes) +
+                  Entry.ResponseBytesByRoute[Matched.Name];
+  Request.Waited = Waited;
+  Request.LatencyObjective = Matched.LatencyObjective;
+  return chooseForRequest(Entry.State, Entry.Recent, Request, BytePrice,
+                          Dependencies.Generator);
+}
+
+void DomainRouting::restrict(const ServiceName &Service,
+                             const RequestChoice &Choice,
+                             std::vector<TargetCandidate> &Candidates) {
+  const DomainChoiceState &State = Services[Service].State;
+  const bool HasLocal = std::any_of(
+      Candidates.begin(), Candidates.end(), [](const TargetCandidate &Target) {
+        return Target.IsInLocalDomain && !Target.IsSuspect;
+      });
+  // A request that stays and has no local target left is better served
+  // elsewhere than rejected, unless that is known to be in vain.
+  const bool IsKnownInVain = State.IsOwnLost && !State.Allowances.empty();
+  if (!Choice.Destination && !HasLocal && !IsKnownInVain)
+    return;
+  std::erase_if(Candidates, [&](const TargetCandidate &Target) {
+    return !Target.IsInLocalDomain &&
+           (!Choice.Destination ||
+            Dependencies.CurrentState.targets()
+                    .Targets.at(Target.Id)
+                    .Registration.Domain != *Choice.Destination);
+  });
+}
+
+void DomainRouting::beginWait(const ServiceName &Service) {
+  ++Services[Service].Waiting;
+}
+
+void DomainRouting::endWait(const ServiceName &Service) {
+  --Services[Service].Waiting;
+}
+
+// The rejection of a request that left says nothing about the own domain.
+void DomainRouting::recordRefusal(const ServiceName &Service,
+                                  const RequestChoice &Choice) {
+  if (!Choice.Destination)
+    ++Services[Service].Refused;
+}
+
+void DomainRouting::recordAttempt(const ServiceName &Service,
+                                  const TargetCandidate &Target,
+                                  std::size_t RequestBytes) {
+  if (Target.IsInLocalDomain)
+    return;
+  GatewayMetrics &Metrics = Dependencies.ProcessMetrics;
+  ++Metrics.counter(metricName("requests_to_other_domains_total", Service));
+  Metrics.counter(metricName("bytes_to_other_domains_total", Service)) +=
+      RequestBytes;
+}
+
+void DomainRouting::recordAnswer(const ServiceName &Service,
+                                 const Route &Matched,
+                                 std::size_t ResponseBytes) {
+  double &Mean = Services[Service].ResponseBytesByRoute[Matched.Name];
+  Mean += ResponseBytesWeight * (static_cast<double>(ResponseBytes) - Mean);
+}
+
+std::map<ServiceName, DomainLoad> DomainRouting::ownLoads() {
+  std::set<ServiceName> Names;
+  for (const auto &[Id, Known] : Dependencies.CurrentState.targets().Targets)
+    Names.insert(Known.Registration.Service);
+  std::map<ServiceName, DomainLoad> Loads;
+  for (const ServiceName &Service : Names) {
+    DomainLoad &Load = Loads[Service];
+    Load = knownLoads(Service, nullptr)[Dependencies.HostDomain];
+    const auto Entry = Services.find(Service);
+    Load.IsPressed = Entry != Services.end() && Entry->second.State.IsPressed;
+  }
+  return Loads;
+}
+
+void DomainRouting::recordReport(const ServiceName &Service,
+                                 const FailureDomain &Domain,
+                                 const ReportedDomainLoad &Reported) {
+  ReportedDomainLoad &Known = Services[Service].Reports[Domain];
+  if (Known.ObservedAt < Reported.ObservedAt)
+    Known = Reported;
+}
+
+std::map<FailureDomain, ReportedDomainLoad>
+DomainRouting::reports(const ServiceName &Service) const {
+  std::map<FailureDomain, ReportedDomainLoad> Recent;
+  const auto Entry = Services.find(Service);
+  if (Entry == Services.end())
+    return Recent;
+  for (const auto &[Domain, Reported] : Entry->second.Reports)
+    if (Dependencies.TimeSource.now() - Reported.ObservedAt <=
+        DomainLoadAgeMaximum)
+      Recent[Domain] = Reported;
+  return Recent;
+}
+
+} // namespace comfreyrill
--- /dev/null
+++ b/Services/Gateway/DomainRouting.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "GatewayDependencies.h"
+
+#include <LibDomainChoice/RequestChoice.h>
+#include <LibMembership/DomainTable.h>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace comfreyrill {
+
+/// Load of one service in another failure domain as its delegates report it.
+struct ReportedDomainLoad {
+  DomainLoad Load;
+  TimePoint ObservedAt;
+  Duration Delay{0};
+};
+
+/// Decides for each service which share of this host's requests leaves the
+/// failure domain, and for each request whether it is one of them.
+class DomainRouting : public std::enable_shared_from_this<DomainRouting> {
+public:
+  DomainRouting(const GatewayDependencies &Dependencies,
+                const DomainTable &Domains, double BytePrice);
+
+  void start();
+
+  /// Updates the decisions for all services with requests on this host.
+  void update();
+
+  /// Counts a request that has been received and decides whether it may leave.
+  RequestChoice choose(const ServiceName &Service, const Route &Matched,
+                       std::size_t RequestBytes, Duration Waited);
+  /// Removes the candidates that the request may not use.
+  void restrict(const ServiceName &Service, const RequestChoice &Choice,
+                std::vector<TargetCandidate> &Candidates);
+  /// Counts requests that wait for a slot.
+  void beginWait(const ServiceName &Service);
+  void endWait(const ServiceName &Service);
+  /// Counts a request that was rejected for lack of a slot.
+  void recordRefusal(const ServiceName &Service, const RequestChoice &Choice);
+  void recordAttempt(const ServiceName &Service, const TargetCandidate &Target,
+                     std::size_t RequestBytes);
+  void recordAnswer(const ServiceName &Service, const Route &Matched,
+                    std::size_t ResponseBytes);
+
+  /// Returns the load of each service in the own failure domain.
+  std::map<ServiceName, DomainLoad> ownLoads();
+  /// Records a report unless a newer one is known.
+  void recordReport(const ServiceName &Service, const FailureDomain &Domain,
+                    const ReportedDomainLoad &Reported);
+  /// Returns the reports of the last second on one service.
+  std::map<FailureDomain, ReportedDomainLoad>
+  reports(const ServiceName &Service) const;
+
+private:
+  struct ServiceRouting {
+    DomainChoiceState State;
+    RecentCosts Recent;
+    std::map<FailureDomain, ReportedDomainLoad> Reports;
+    std::map<std::string, double> ResponseBytesByRoute;
+    double Received = 0;
+    double Refused = 0;
+    double Waiting = 0;
+  };
+
+  Awaitable<void> run();
+  void updateService(const ServiceName &Service, ServiceRouting &Entry);
+  /// Sums up the loads that this host knows by itself.
+  std::map<FailureDomain, DomainLoad> knownLoads(const ServiceName &Service,
+                                                 double *InFlight);
+  void logChange(const ServiceName &Service, const DomainChoiceState &State,
+                 bool WasSending);
+
+  const GatewayDependencies &Dependencies;
+  const DomainTable &Domains;
+  double BytePrice;
+  Timer UpdateTimer;
+  std::map<ServiceName, ServiceRouting> Services;
+};
+
+} // namespace comfreyrill
--- a/Services/Gateway/FleetService.cpp
+++ b/Services/Gateway/FleetService.cpp
@@ -125,6 +125,8 @@
   Loads.onLoadNotice(Notice);
   if (Notice.__isset.crashes)
     Crashes.onNotice(Notice.crashes);
+  if (Notice.__isset.domains && Summaries != nullptr)
+    Summaries->onNotice(Notice.domains);
 }
 
 void FleetService::onHeartbeat(const wire::Heartbeat &Message) {
--- a/Services/Gateway/FleetService.h
+++ b/Services/Gateway/FleetService.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "CrashExchange.h"
+#include "DomainExchange.h"
 #include "GatewayDependencies.h"
 #include "LoadExchange.h"
 #include "StateReplicator.h"
@@ -28,6 +29,10 @@
   using TickHandler = std::function<void()>;
   void onTick(TickHandler Handler) { OnTick = std::move(Handler); }
 
+  /// Sets the receiver of summaries of other failure domains. Without one, they
+  /// are ignored.
+  void setDomainExchange(DomainExchange *Exchange) { Summaries = Exchange; }
+
   void start();
   void stop();
 
@@ -67,6 +72,7 @@
   StateReplicator &Replicator;
   LoadExchange &Loads;
   CrashExchange &Crashes;
+  DomainExchange *Summaries = nullptr;
   PeerMesh &Mesh;
   std::vector<Endpoint> Seeds;
   TickHandler OnTick;
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -76,6 +76,11 @@
   Loads->start();
   TRY(const auto Crashes, Registry.find<CrashExchange>("crash_exchange"));
   Crashes->start();
+  if (Dependencies->Domains != nullptr) {
+    Dependencies->Domains->start();
+    TRY(const auto Summaries, Registry.find<DomainExchange>("domain_exchange"));
+    Summaries->start();
+  }
   asio::co_spawn(Loop, runMaintenance(), asio::detached);
   return outcome::success();
 }
@@ -141,6 +146,16 @@
       *Dependencies, *Client, [Replicator = Replicator.get()] {
         Replicator->publish(UpdateSource::Store);
       });
+  if (Configured.DomainBytePrice) {
+    const auto Routing = std::make_shared<DomainRouting>(
+        *Dependencies, *Domains, *Configured.DomainBytePrice);
+    const auto Summaries = std::make_shared<DomainExchange>(
+        *Dependencies, *Routing, *Members, *Domains, *Mesh);
+    Dependencies->Domains = Routing.get();
+    Fleet->setDomainExchange(Summaries.get());
+    TRY(Registry.add("domain_routing", Routing));
+    TRY(Registry.add("domain_exchange", Summaries));
+  }
   Replicator->onChange([this] { onStateChange(); });
   Fleet->onTick([this] { updateStoreRole(); });
   TRY(Registry.add("domains", Domains));
--- a/Services/Gateway/GatewayDependencies.h
+++ b/Services/Gateway/GatewayDependencies.h
@@ -15,6 +15,8 @@
 
 namespace comfreyrill {
 
+class DomainRouting;
+
 /// Dependencies that are passed to the constructors of the gateway's services.
 /// All referenced objects outlive the services.
 struct GatewayDependencies {
@@ -35,6 +37,9 @@
   MessageMemory &Messages;
   /// Returns the number of hosts that share the budgets of the fleet.
   std::function<std::size_t()> BudgetHostCount;
+  /// Decides which requests leave the failure domain; null when fixed factors
+  /// do.
+  DomainRouting *Domains = nullptr;
 };
 
 } // namespace comfreyrill
--- a/Services/Gateway/RequestExecution.cpp
+++ b/Services/Gateway/RequestExecution.cpp
@@ -86,6 +86,10 @@
                                    SelectedRoute->Timeout);
   recordRequest(Dependencies.CurrentState.serviceStats(Service).RetryCounts,
                 Dependencies.RetryPolicy, ReceivedAt);
+  if (Dependencies.Domains != nullptr)
+    DomainChoice = Dependencies.Domains->choose(
+        Service, *SelectedRoute, Request.body().size(),
+        Dependencies.TimeSource.now() - ReceivedAt);
   co_return co_await execute(*SelectedRoute);
 }
 
@@ -183,6 +187,8 @@
 // one has tried. It must wait for a pause only if all targets are paused,
 // whatever has ended this request.
 HttpResponse RequestExecution::refuseNotRun() {
+  if (Dependencies.Domains != nullptr && Refusal == RefusalCause::Overloaded)
+    Dependencies.Domains->recordRefusal(Service, DomainChoice);
   if (QuarantineLeft)
     return refuse(http::status::service_unavailable, refusalCauseName(Refusal),
                   QuarantineLeft);
@@ -226,6 +232,8 @@
   std::erase_if(Candidates, [&](const TargetCandidate &Candidate) {
     return TriedTargets.contains(Candidate.Id);
   });
+  if (Dependencies.Domains != nullptr)
+    Dependencies.Domains->restrict(Service, DomainChoice, Candidates);
   HasCandidates = !Candidates.empty();
   PauseEndsAt = HasCandidates ? std::nullopt : Listed.EarliestPauseEnd;
   return std::move(Candidates);
@@ -246,10 +254,10 @@
   const std::size_t Allowed = acquireProbes(Demand, Candidates.size());
   if (Allowed == 0)
     co_return std::vector<ConnectedTarget>{};
-  co_return co_await Prober.run(selectProbeCandidates(std::move(Candidates),
-                                                      Allowed,
-                                                      Dependencies.Generator),
-                                Service, HealthPath, IdDigest, Deadline);
+  co_return co_await Prober.run(
+      selectProbeCandidates(std::move(Candidates), Allowed,
+                            Dependencies.Generator, DomainChoice.Factors),
+      Service, HealthPath, IdDigest, Deadline);
 }
 
 // Any path but the health path is a request to the target.
@@ -259,8 +267,8 @@
   std::vector<ConnectedTarget> Connected;
   if (!Found.empty() || Candidates.empty())
     co_return Connected;
-  auto Chosen =
-      selectProbeCandidates(std::move(Candidates), 1, Dependencies.Generator);
+  auto Chosen = selectProbeCandidates(
+      std::move(Candidates), 1, Dependencies.Generator, DomainChoice.Factors);
   if (auto Target = co_await Prober.connect(Chosen.front(), Service))
     Connected.push_back(std::move(*Target));
   co_return Connected;
@@ -294,7 +302,7 @@
         Probed.push_back(Target.Candidate);
         Found.push_back(std::move(Target));
       }
-      Best = selectTarget(Probed);
+      Best = selectTarget(Probed, DomainChoice.Factors);
       if (HasCallerLeft || (Best && isGoodEnough(Probed[*Best])))
         break;
     }
@@ -319,7 +327,11 @@
       co_return Picked;
     IsFirstPass = false;
     SelectionTimer.expires_after(SelectionRetryInterval);
+    if (Dependencies.Domains != nullptr)
+      Dependencies.Domains->beginWait(Service);
     co_await SelectionTimer.async_wait(UseTuple);
+    if (Dependencies.Domains != nullptr)
+      Dependencies.Domains->endWait(Service);
   }
   co_return std::nullopt;
 }
@@ -395,6 +407,9 @@
   const TargetProcess Process = processOf(Target.Candidate.Target);
   ++AttemptCount;
   TriedTargets.insert(Id);
+  if (Dependencies.Domains != nullptr)
+    Dependencies.Domains->recordAttempt(Service, Target.Candidate.Target,
+                                        Request.body().size());
   ActiveConnection = std::move(Target.Connection);
   Dependencies.CurrentState.beginAttempt(Process);
   ActiveConnection->recordCarried(IdDigest);
@@ -422,6 +437,9 @@
   bool IsConnectionLost = false;
   if (Answer) {
     HeldAnswer.hold(Answer.value().body().size());
+    if (Dependencies.Domains != nullptr)
+      Dependencies.Domains->recordAnswer(Service, *SelectedRoute,
+                                         Answer.value().body().size());
     const TargetAnswer Read = platform::decodeAnswer(Answer.value());
     Report.Outcome = classifyAnswer(Read);
     // A target that pauses has not failed.
--- a/Services/Gateway/RequestExecution.h
+++ b/Services/Gateway/RequestExecution.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "CrashQuarantine.h"
+#include "DomainRouting.h"
 #include "GatewayDependencies.h"
 #include "TargetProber.h"
 
@@ -98,6 +99,8 @@
   std::shared_ptr<const Configuration> CurrentConfiguration;
   const Route *SelectedRoute = nullptr;
   ServiceName Service;
+  /// Which failure domains the request may use.
+  RequestChoice DomainChoice;
   std::string HealthPath;
   std::set<TargetId> TriedTargets;
   std::uint32_t AttemptCount = 0;
