Gateway: Test routing between domains with whole requests

Only the decision was tested, not that a request follows it. One test sends a request from a domain without targets, another one checks that a busy target does not make requests probe other domains without pressure.

Tested: both tests, and the 9 of DomainRouting and DomainExchange.

--- a/Tests/Gateway/TestRequestExecution.cpp
+++ b/Tests/Gateway/TestRequestExecution.cpp
@@ -185,20 +185,22 @@
     CurrentState.applyConfiguration(std::move(Made), "", "test");
   }
 
-  FakeTarget &addTarget(FakeTarget::Behaviour Answer) {
+  FakeTarget &addTarget(FakeTarget::Behaviour Answer,
+                        const std::string &Domain = "west") {
     Targets.push_back(
         std::make_unique<FakeTarget>(Loop, TimeSource, std::move(Answer)));
     registerTarget("i-" + std::to_string(Targets.size()),
-                   Targets.back()->address());
+                   Targets.back()->address(), Domain);
     return *Targets.back();
   }
 
-  void registerTarget(const std::string &Id, const Endpoint &Address) {
+  void registerTarget(const std::string &Id, const Endpoint &Address,
+                      const std::string &Domain = "west") {
     TargetRegistration Registered;
     Registered.Id = TargetId(Id);
     Registered.Service = ServiceName("stock");
     Registered.Address = Address;
-    Registered.Domain = FailureDomain("west");
+    Registered.Domain = FailureDomain(Domain);
     Registered.Slots = 6;
     CurrentState.applyTargetChange({Registered.Id, Registered, {++Revision}},
                                    "test");
@@ -286,6 +288,41 @@
   EXPECT_EQ(Only.Runs, 1);
 }
 
+// Guards against a request that is refused, or whose bytes are not counted, in
+// a domain without targets of its own.
+TEST_F(RequestExecutionTest, RequestLeavesADomainWithoutTargets) {
+  DomainTable Domains;
+  const auto Routing =
+      std::make_shared<DomainRouting>(Dependencies, Domains, 2e-6);
+  Dependencies.Domains = Routing.get();
+  configure(ExecutionSemantics::AtMostOnce);
+  FakeTarget &Remote = addTarget(answerWhole, "east");
+  begin("/x/1", "r-1", std::string(1000, 'x'));
+  EXPECT_EQ(finish().result(), http::status::ok);
+  EXPECT_EQ(Remote.Runs, 1);
+  EXPECT_EQ(
+      ProcessMetrics.counter("bytes_to_other_domains_total{service=\"stock\"}"),
+      1000U);
+}
+
+// Guards against probes and requests in other domains while the own one has no
+// need of them, although its only target is busy at the moment.
+TEST_F(RequestExecutionTest, RequestStaysWithoutPressure) {
+  DomainTable Domains;
+  const auto Routing =
+      std::make_shared<DomainRouting>(Dependencies, Domains, 2e-6);
+  Dependencies.Domains = Routing.get();
+  configure(ExecutionSemantics::AtMostOnce);
+  FakeTarget &Local = addTarget(answerWhole);
+  Local.Load = "6,3,6,100";
+  FakeTarget &Remote = addTarget(answerWhole, "east");
+  begin();
+  EXPECT_EQ(finish().result(), http::status::service_unavailable);
+  EXPECT_GT(Local.Probes, 0);
+  EXPECT_EQ(Remote.Probes, 0);
+  EXPECT_EQ(Remote.Runs, 0);
+}
+
 // Guards against refusing a request that another target can serve.
 TEST_F(RequestExecutionTest, ShedRequestIsRetriedAtAnotherTarget) {
   configure(ExecutionSemantics::AtMostOnce);
