--- a/Libraries/LibMembership/DomainTable.cpp
+++ b/Libraries/LibMembership/DomainTable.cpp
@@ -64,6 +64,8 @@
   return Domain.HeardAt && Now - *Domain.HeardAt <= DomainLostAfter;
 }
 
+} // namespace
+
 std::vector<Endpoint> delegatesOf(const RemoteDomain &Domain) {
   if (Domain.Hosts.empty())
     return Domain.SeedContacts;
@@ -82,8 +84,6 @@
   return Delegates;
 }
 
-} // namespace
-
 bool isDelegate(const MemberTable &Members, TimePoint Now) {
   std::size_t Higher = 0;
   for (const Peer &Other : Members.Peers)
--- a/Services/Gateway/FleetService.h
+++ b/Services/Gateway/FleetService.h
@@ -2,6 +2,7 @@
 
 #include "AllotmentExchange.h"
 #include "CrashExchange.h"
+#include "DomainExchange.h"
 #include "GatewayDependencies.h"
 #include "LoadExchange.h"
 #include "StateReplicator.h"
@@ -30,6 +31,10 @@
   using TickHandler = std::function<void()>;
   void onTick(TickHandler Handler) { OnTick = std::move(Handler); }
 
+  /// Sets the receiver of summaries of other failure domains. Without one, they
+  /// are ignored.
+  void setDomainExchange(DomainExchange *Exchange) { Summaries = Exchange; }
+
   void start();
   void stop();
 
@@ -70,6 +75,7 @@
   LoadExchange &Loads;
   CrashExchange &Crashes;
   AllotmentExchange &Quotas;
+  DomainExchange *Summaries = nullptr;
   PeerMesh &Mesh;
   std::vector<Endpoint> Seeds;
   TickHandler OnTick;
--- a/Services/Gateway/RequestExecution.cpp
+++ b/Services/Gateway/RequestExecution.cpp
@@ -86,6 +86,10 @@
                                    SelectedRoute->Timeout);
   recordRequest(Dependencies.CurrentState.serviceStats(Service).RetryCounts,
                 Dependencies.RetryPolicy, ReceivedAt);
+  if (Dependencies.Domains != nullptr)
+    DomainChoice = Dependencies.Domains->choose(
+        Service, *SelectedRoute, Request.body().size(),
+        Dependencies.TimeSource.now() - ReceivedAt);
   co_return co_await execute(*SelectedRoute);
 }
 
@@ -206,6 +210,8 @@
 HttpResponse RequestExecution::refuseNotRun() {
   if (HoldsToken && Dependencies.ReturnToken)
     Dependencies.ReturnToken(Account->Name);
+  if (Dependencies.Domains != nullptr && Refusal == RefusalCause::Overloaded)
+    Dependencies.Domains->recordRefusal(Service, DomainChoice);
   if (QuarantineLeft)
     return refuse(http::status::service_unavailable, refusalCauseName(Refusal),
                   QuarantineLeft);
@@ -259,6 +265,8 @@
   std::erase_if(Candidates, [&](const TargetCandidate &Candidate) {
     return TriedTargets.contains(Candidate.Id);
   });
+  if (Dependencies.Domains != nullptr)
+    Dependencies.Domains->restrict(Service, DomainChoice, Candidates);
   HasCandidates = !Candidates.empty();
   PauseEndsAt = HasCandidates ? std::nullopt : Listed.EarliestPauseEnd;
   return std::move(Candidates);
@@ -283,10 +291,10 @@
   for (TargetCandidate &Candidate : Candidates)
     Candidate.HasIdleConnection = Dependencies.Pool.hasIdle(
         Registered.at(Candidate.Id).Registration.Address);
-  co_return co_await Prober.run(selectProbeCandidates(std::move(Candidates),
-                                                      Allowed,
-                                                      Dependencies.Generator),
-                                Service, HealthPath, IdDigest, Deadline);
+  co_return co_await Prober.run(
+      selectProbeCandidates(std::move(Candidates), Allowed,
+                            Dependencies.Generator, DomainChoice.Factors),
+      Service, HealthPath, IdDigest, Deadline);
 }
 
 // Any path but the health path is a request to the target.
@@ -296,8 +304,8 @@
   std::vector<ConnectedTarget> Connected;
   if (!Found.empty() || Candidates.empty())
     co_return Connected;
-  auto Chosen =
-      selectProbeCandidates(std::move(Candidates), 1, Dependencies.Generator);
+  auto Chosen = selectProbeCandidates(
+      std::move(Candidates), 1, Dependencies.Generator, DomainChoice.Factors);
   if (auto Target = co_await Prober.connect(Chosen.front(), Service))
     Connected.push_back(std::move(*Target));
   co_return Connected;
@@ -333,7 +341,7 @@
         Probed.push_back(Target.Candidate);
         Found.push_back(std::move(Target));
       }
-      Best = selectTarget(Probed);
+      Best = selectTarget(Probed, DomainChoice.Factors);
       if (HasCallerLeft || (Best && isGoodEnough(Probed[*Best])))
         break;
     }
@@ -389,7 +397,11 @@
       co_return false;
     }
     SelectionTimer.expires_at(Decision.AskAgainAt);
+    if (Dependencies.Domains != nullptr)
+      Dependencies.Domains->beginWait(Service);
     co_await SelectionTimer.async_wait(UseTuple);
+    if (Dependencies.Domains != nullptr)
+      Dependencies.Domains->endWait(Service);
   }
   co_return false;
 }
@@ -468,6 +480,9 @@
   const TargetProcess Process = processOf(Target.Candidate.Target);
   ++AttemptCount;
   TriedTargets.insert(Id);
+  if (Dependencies.Domains != nullptr)
+    Dependencies.Domains->recordAttempt(Service, Target.Candidate.Target,
+                                        Request.body().size());
   ActiveConnection = std::move(Target.Connection);
   Dependencies.CurrentState.beginAttempt(Process);
   recordReceived(*Dependencies.CurrentState.serviceStats(Service).Waiting,
@@ -501,6 +516,9 @@
   bool IsConnectionLost = false;
   if (Answer) {
     HeldAnswer.hold(Answer.value().body().size());
+    if (Dependencies.Domains != nullptr)
+      Dependencies.Domains->recordAnswer(Service, *SelectedRoute,
+                                         Answer.value().body().size());
     const TargetAnswer Read = platform::decodeAnswer(Answer.value());
     Report.Outcome = classifyAnswer(Read);
     // A target that pauses has not failed.
--- a/Services/Gateway/RequestExecution.h
+++ b/Services/Gateway/RequestExecution.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "CrashQuarantine.h"
+#include "DomainRouting.h"
 #include "GatewayDependencies.h"
 #include "TargetProber.h"
 
@@ -111,6 +112,8 @@
   const ClientAccount *Account = nullptr;
   bool HoldsToken = false;
   ServiceName Service;
+  /// Which failure domains the request may use.
+  RequestChoice DomainChoice;
   std::string HealthPath;
   std::set<TargetId> TriedTargets;
   std::uint32_t AttemptCount = 0;
