platform: Decode evacuations

The platform lists evacuated failure domains as store objects of the kind "evacuations", and says in COMFREYRILL_CONTRACTS whether a deployment has them.

Only the names of the entries count, because their specifications are open.

--- a/Tests/platform/TestStoreCodec.cpp
+++ b/Tests/platform/TestStoreCodec.cpp
@@ -172,6 +172,22 @@
   }
 }
 
+// Guards against an evacuation that is ignored because of what its entry holds.
+TEST(StoreCodec, OnlyTheNameOfAnEvacuationCounts) {
+  const StoreRevision Revision = makeRevision(2, 6);
+  const EvacuationReport Report = decodeEvacuations(
+      {{"west", makeRevision(2, 4), "{}"}, {"east", makeRevision(2, 5), "[7"}},
+      Revision, true);
+  EXPECT_EQ(Report.Revision, Revision);
+  EXPECT_EQ(Report.Domains,
+            (std::set{FailureDomain("west"), FailureDomain("east")}));
+  const EvacuationChange Change = decodeEvacuationChange(
+      {{"west", makeRevision(2, 4), ""}, true}, Revision);
+  EXPECT_EQ(Change.Domain, FailureDomain("west"));
+  EXPECT_EQ(Change.Revision, Revision);
+  EXPECT_FALSE(Change.IsEvacuated);
+}
+
 // Guards against input that crashes the process: arbitrary text, and the
 // configuration with some of its bytes changed or cut off.
 RC_GTEST_PROP(StoreCodec, AnyTextIsDecodedOrRejected,
