LibPlaces: Share the budget of cold targets among few hosts

Each host ranks the hosts of its domain for each cold target. The first few live ones have a share of about two requests per second each; only the first few of all known hosts, live or not, are assigned at all, which bounds the sum for differing views.

--- /dev/null
+++ b/Libraries/LibPlaces/ColdShare.cpp
@@ -0,0 +1,84 @@
+#include <LibPlaces/ColdShare.h>
+
+#include <algorithm>
+#include <cmath>
+#include <string_view>
+
+namespace comfreyrill {
+
+namespace {
+
+// With fewer requests per second, most of a share would pass unused, because
+// requests do not arrive evenly. With more, the loss of one host would cost
+// more of the budget.
+constexpr std::uint32_t RequestsPerHost = 2;
+// A target may get 1.5 times its rate plus 8 requests. Half of what exceeds the
+// rate is left for requests that were under way when the views changed, the
+// other half for hosts with other views.
+constexpr double SpareRateFactor = 0.25;
+constexpr double SpareRequests = 4;
+// Keeps windows short and counts small whatever the configuration says.
+constexpr double RateMinimum = 0.01;
+constexpr double RateMaximum = 1e5;
+
+constexpr std::uint64_t mix(std::uint64_t Value) {
+  Value ^= Value >> 30;
+  Value *= 0xBF58476D1CE4E5B9U;
+  Value ^= Value >> 27;
+  Value *= 0x94D049BB133111EBU;
+  return Value ^ (Value >> 31);
+}
+
+// All hosts must agree on the hash, and a hundred of them are ranked for each
+// cold target, so it must be cheap. Nothing depends on its strength.
+std::uint64_t textHash(std::string_view Text) {
+  std::uint64_t Hash = 0xCBF29CE484222325U;
+  for (const char Character : Text) {
+    Hash ^= static_cast<unsigned char>(Character);
+    Hash *= 0x100000001B3U;
+  }
+  return mix(Hash);
+}
+
+std::uint64_t rankOf(const HostId &Host, const TargetId &Target) {
+  return mix(textHash(Host.Value) +
+             0x9E3779B97F4A7C15U * (textHash(Target.Value) | 1U));
+}
+
+} // namespace
+
+ColdShare coldShare(const DomainHosts &Hosts, const TargetId &Target,
+                    double RatePerSecond) {
+  if (Hosts.IsIsolated || !(RatePerSecond > 0))
+    return {};
+  const double Rate = std::clamp(RatePerSecond, RateMinimum, RateMaximum);
+  const std::uint64_t Own = rankOf(Hosts.Self, Target);
+  std::uint32_t LiveBefore = 0;
+  std::uint32_t KnownBefore = 0;
+  for (const DomainHost &Other : Hosts.Others) {
+    const std::uint64_t Rank = rankOf(Other.Host, Target);
+    if (Rank < Own || (Rank == Own && Hosts.Self < Other.Host))
+      continue;
+    ++KnownBefore;
+    LiveBefore += Other.IsLive ? 1 : 0;
+  }
+  const auto Whole = static_cast<std::uint32_t>(std::max(1.0, Rate));
+  // Lost hosts count too: a host that sees no other one live must not take over
+  // the whole budget.
+  const auto Assigned =
+      std::clamp(Whole / RequestsPerHost, 1U,
+                 static_cast<std::uint32_t>(Hosts.Others.size()) + 1U);
+  const std::uint32_t Largest = (Whole + Assigned - 1) / Assigned;
+  const auto Spare = static_cast<std::uint32_t>(
+      (SpareRateFactor * Rate + SpareRequests) / Largest);
+  if (LiveBefore >= Assigned || KnownBefore >= Assigned + Spare)
+    return {};
+  ColdShare Share;
+  Share.Requests = Whole / Assigned + (LiveBefore < Whole % Assigned ? 1U : 0U);
+  if (Rate < 1)
+    Share.Window = std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(1 / Rate));
+  return Share;
+}
+
+} // namespace comfreyrill
