platform: Decode what cold targets bear and how long they are cold

Services name coldS and coldPerS in the configuration, and targets the remaining time in Cold-Remaining of their health responses. Both were ignored. Values that cannot be read set no limit.

--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -54,6 +54,8 @@
   /// The target that answered; empty when the answer does not name it.
   TargetId Responder;
   std::optional<LoadReport> Load;
+  /// Time for which the target stays cold; unset when it does not say.
+  std::optional<Duration> ColdTimeLeft;
 };
 
 /// True when the addressed target asks for a pause.
--- a/Tests/platform/TestHttpCodec.cpp
+++ b/Tests/platform/TestHttpCodec.cpp
@@ -153,6 +153,23 @@
   EXPECT_TRUE(decodeProbeAnswer(Refusal).IsHealthy);
 }
 
+// Guards against a cold target that is taken for a warm one, and against odd
+// values that make a target cold for ever.
+TEST(HttpCodec, DecodesTheColdTimeOfAProbe) {
+  HttpResponse Health(http::status::ok, 11);
+  EXPECT_EQ(decodeProbeAnswer(Health).ColdTimeLeft, std::nullopt);
+  Health.set("Cold-Remaining", "2.5");
+  EXPECT_EQ(decodeProbeAnswer(Health).ColdTimeLeft, Duration(2500ms));
+  Health.set("Cold-Remaining", "0");
+  EXPECT_EQ(decodeProbeAnswer(Health).ColdTimeLeft, Duration(0));
+  Health.set("Cold-Remaining", "-4");
+  EXPECT_EQ(decodeProbeAnswer(Health).ColdTimeLeft, Duration(0));
+  for (const char *Text : {"", "soon", "nan", "inf"}) {
+    Health.set("Cold-Remaining", Text);
+    EXPECT_EQ(decodeProbeAnswer(Health).ColdTimeLeft, std::nullopt) << Text;
+  }
+}
+
 TEST(HttpCodec, LocalRepliesCarryRetryAfter) {
   const HttpResponse Refusal =
       encodeLocalReply(http::status::service_unavailable, RequestId("a"),
--- a/Tests/platform/TestStoreCodec.cpp
+++ b/Tests/platform/TestStoreCodec.cpp
@@ -188,6 +188,23 @@
   EXPECT_FALSE(Change.IsEvacuated);
 }
 
+// Guards against a limit that is not read, or that odd values turn into one.
+TEST(StoreCodec, DecodesWhatColdTargetsBear) {
+  const auto Read = decodeConfiguration(
+      R"({"version":"r1","routes":[],"services":[
+          {"name":"a","coldS":20,"coldPerS":6.5},{"name":"b"},
+          {"name":"c","coldS":-1,"coldPerS":-2},
+          {"name":"d","coldS":"long","coldPerS":"few"}]})");
+  ASSERT_TRUE(Read);
+  const auto &Services = Read.value().Services;
+  EXPECT_EQ(Services[0].ColdTime, 20s);
+  EXPECT_DOUBLE_EQ(Services[0].ColdRate, 6.5);
+  for (std::size_t Index = 1; Index < Services.size(); ++Index) {
+    EXPECT_EQ(Services[Index].ColdTime, 0s) << Index;
+    EXPECT_DOUBLE_EQ(Services[Index].ColdRate, 0) << Index;
+  }
+}
+
 // Guards against input that crashes the process: arbitrary text, and the
 // configuration with some of its bytes changed or cut off.
 RC_GTEST_PROP(StoreCodec, AnyTextIsDecodedOrRejected,
