LibGateway: Record what targets say about their cold time

The time for which a target is cold came only from its registration.

recordColdTime() replaces it for the registered process, and requests that are refused because all targets are cold have a cause of their own.

--- a/Libraries/LibGateway/Admission.cpp
+++ b/Libraries/LibGateway/Admission.cpp
@@ -48,6 +48,8 @@
     return "overloaded";
   case RefusalCause::Paused:
     return "paused";
+  case RefusalCause::Cold:
+    return "cold";
   case RefusalCause::Quarantined:
     return "quarantined";
   case RefusalCause::Draining:
--- a/Libraries/LibGateway/Admission.h
+++ b/Libraries/LibGateway/Admission.h
@@ -46,6 +46,9 @@
   Overloaded,
   /// All targets that the request could use are paused.
   Paused,
+  /// All targets that the request could use are cold and have got as many
+  /// requests as they bear.
+  Cold,
   /// Copies of the request have crashed targets.
   Quarantined,
   /// The host shuts down before the request would have ended.
--- a/Libraries/LibGateway/TargetDirectory.cpp
+++ b/Libraries/LibGateway/TargetDirectory.cpp
@@ -243,6 +243,16 @@
   return true;
 }
 
+bool recordColdTime(TargetDirectory &Directory, const TargetProcess &Process,
+                    Duration Left, TimePoint Now) {
+  const auto Position = Directory.Targets.find(Process.Id);
+  if (Position == Directory.Targets.end() ||
+      processOf(Position->second.Registration) != Process)
+    return false;
+  Position->second.ColdUntil = Now + Left;
+  return true;
+}
+
 void recordStoreRecovery(TargetDirectory &Directory, TimePoint Now) {
   Directory.MissingEntryGraceUntil = Now + MissingEntryGrace;
   for (auto &[Id, Entry] : Directory.Targets)
--- a/Libraries/LibGateway/TargetDirectory.h
+++ b/Libraries/LibGateway/TargetDirectory.h
@@ -113,6 +113,12 @@
 /// True when the process is known to leave.
 bool isLeaving(const TargetDirectory &Directory, const TargetProcess &Process);
 
+/// Records that a process of a target stays cold for that time from now, as the
+/// target itself says. Returns false for another process than the registered
+/// one.
+bool recordColdTime(TargetDirectory &Directory, const TargetProcess &Process,
+                    Duration Left, TimePoint Now);
+
 /// Starts the grace period when the store answers again after an outage.
 void recordStoreRecovery(TargetDirectory &Directory, TimePoint Now);
 
