Gateway: Limit the requests to cold targets

Where a service has a limit, candidates and attempts leave out cold targets of which this host's share is used up or that are not assigned to it. Requests that another target has turned away with 421 do not count. If all targets of a service are cold and have no room, requests are refused at once with the reason "cold" and the time until there is room.

--- /dev/null
+++ b/Services/Gateway/DomainHostsView.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <LibMembership/DomainTable.h>
+#include <LibMembership/MemberTable.h>
+#include <LibPlaces/ColdShare.h>
+
+namespace comfreyrill {
+
+/// Returns the hosts of this failure domain among which cold targets are
+/// assigned. HasSeeds says that there are other hosts whether or not this one
+/// knows any.
+DomainHosts domainHosts(const MemberTable &Members, const DomainTable &Domains,
+                        bool HasSeeds, TimePoint Now);
+
+} // namespace comfreyrill
--- a/Services/Gateway/FleetService.cpp
+++ b/Services/Gateway/FleetService.cpp
@@ -1,5 +1,7 @@
 #include "FleetService.h"
 
+#include "DomainHostsView.h"
+
 #include <LibCore/Hash.h>
 #include <LibMembership/Addresses.h>
 #include <LibMembership/HeartbeatProcessing.h>
@@ -80,12 +82,24 @@
   expirePeers(Members, Dependencies.TimeSource.now());
   contactSeeds();
   Replicator.tick();
+  updateDomainHosts();
   if (OnTick)
     OnTick();
   sendHeartbeats();
   sendReports();
 }
 
+void FleetService::updateDomainHosts() {
+  if (!Dependencies.CurrentState.limitsColdTargets())
+    return;
+  const bool HasOtherSeeds =
+      std::any_of(Seeds.begin(), Seeds.end(), [&](const Endpoint &Seed) {
+        return Seed != Members.Self.PeerAddress;
+      });
+  Dependencies.CurrentState.updateDomainHosts(domainHosts(
+      Members, Domains, HasOtherSeeds, Dependencies.TimeSource.now()));
+}
+
 void FleetService::sendHeartbeats() {
   const auto Due = dueHeartbeats(Members, Dependencies.TimeSource.now(),
                                  Dependencies.Generator);
--- a/Services/Gateway/FleetService.h
+++ b/Services/Gateway/FleetService.h
@@ -52,6 +52,7 @@
 private:
   Awaitable<void> run();
   void tick();
+  void updateDomainHosts();
   void sendHeartbeats();
   void sendReports();
   void relay(const DomainReport &Report);
--- a/Services/Gateway/GatewayState.cpp
+++ b/Services/Gateway/GatewayState.cpp
@@ -1,5 +1,7 @@
 #include "GatewayState.h"
 
+#include <LibGateway/RouteTable.h>
+
 #include <algorithm>
 #include <tuple>
 #include <utility>
@@ -25,6 +27,12 @@
 // A target that was idle for this long after its pause needs no gradual
 // resumption.
 constexpr Duration ResumptionTime = std::chrono::seconds(30);
+// Other hosts are told again only of a cold time that differs by more, because
+// each probe of a cold target yields one.
+constexpr Duration ColdTimeTolerance = std::chrono::milliseconds(500);
+// Shares of a cold target are counted in requests per second, so other hosts
+// have room for a request within that time.
+constexpr Duration ColdRoomElsewhere = std::chrono::seconds(1);
 
 std::string_view signalSourceName(SignalSource Source) {
   switch (Source) {
@@ -75,6 +83,10 @@
   Events.writeAlways(LogLevel::Info, Line);
   CurrentConfiguration =
       std::make_shared<const Configuration>(std::move(NewConfiguration));
+  const auto &Services = CurrentConfiguration->Services;
+  HasColdLimits =
+      std::any_of(Services.begin(), Services.end(),
+                  [](const auto &Service) { return Service.ColdRate > 0; });
   CompressedConfiguration = std::move(Compressed);
   return true;
 }
@@ -136,11 +148,60 @@
     if (!Before.contains(Domain))
       Record("evacuation_begun", Domain);
   for (const FailureDomain &Domain : Before)
-    if (!Current.contains(Domain))
+    if (!Current.contains(Domain)) {
       Record("evacuation_ended", Domain);
+      recordColdDomain(Domain);
+    }
   return Current != Before;
 }
 
+// The targets may have been restarted during the evacuation under registrations
+// that still stand.
+void GatewayState::recordColdDomain(const FailureDomain &Domain) {
+  if (!CurrentConfiguration)
+    return;
+  const TimePoint Now = TimeSource.now();
+  for (auto &[Id, Known] : Directory.Targets) {
+    if (Known.Registration.Domain != Domain)
+      continue;
+    const ServiceDescription *Described =
+        findService(*CurrentConfiguration, Known.Registration.Service);
+    if (Described != nullptr && Described->ColdTime > Duration::zero())
+      Known.ColdUntil = std::max(Known.ColdUntil, Now + Described->ColdTime);
+  }
+}
+
+double GatewayState::coldRate(const ServiceName &Service) const {
+  if (!HasColdLimits)
+    return 0;
+  const ServiceDescription *Described =
+      findService(*CurrentConfiguration, Service);
+  return Described == nullptr ? 0 : Described->ColdRate;
+}
+
+void GatewayState::recordCold(const TargetProcess &Process, Duration Left,
+                              SignalSource Source) {
+  const auto Position = Directory.Targets.find(Process.Id);
+  if (Position == Directory.Targets.end())
+    return;
+  const TimePoint Now = TimeSource.now();
+  const Duration Known =
+      std::max(Position->second.ColdUntil - Now, Duration::zero());
+  if (!recordColdTime(Directory, Process, Left, Now) ||
+      Source == SignalSource::Host ||
+      std::max(Known - Left, Left - Known) < ColdTimeTolerance)
+    return;
+  UnsharedCold.push_back(Process);
+}
+
+std::vector<TargetProcess> GatewayState::takeUnsharedCold() {
+  return std::exchange(UnsharedCold, {});
+}
+
+void GatewayState::updateDomainHosts(const DomainHosts &Hosts) {
+  updateHosts(Cold, Hosts, TimeSource.now());
+}
+
 TargetDelta GatewayState::takePendingDelta() {
   TargetDelta Delta = makeDelta(Directory, LastDeltaRevision,
                                 ChangedSinceLastDelta, TimeSource.now());
@@ -178,6 +239,7 @@
   std::vector<TargetCandidate> &Found = Listed.Targets;
   std::vector<double> Preferences;
   std::size_t RemoteCount = 0;
+  const double ColdRate = coldRate(Service);
   auto Paused = Pauses.begin();
   for (const auto &[Id, Known] : Directory.Targets) {
     const TargetRegistration &Registered = Known.Registration;
@@ -198,6 +260,18 @@
         Listed.EarliestPauseEnd = End;
       continue;
     }
+    if (ColdRate > 0 && Now < Known.ColdUntil) {
+      const ColdVerdict Verdict =
+          judgeColdTarget(Cold, Id, Registered.Domain, ColdRate, Now);
+      const TimePoint Room =
+          std::min(Verdict.RoomAt.value_or(Now + ColdRoomElsewhere),
+                   std::max(Known.ColdUntil, Now));
+      if (!Verdict.IsAdmitted &&
+          (!Listed.EarliestColdRoom || Room < *Listed.EarliestColdRoom))
+        Listed.EarliestColdRoom = Room;
+      if (!Verdict.IsAdmitted)
+        continue;
+    }
     endEjection(Stats.Outlier, Now);
     if (!Stats.Preference)
       Stats.Preference = UnitInterval(Generator);
@@ -311,18 +385,29 @@
 bool GatewayState::admitsAttempt(const TargetProcess &Process) const {
   if (!mayUse(Process))
     return false;
+  const TimePoint Now = TimeSource.now();
+  const DirectoryEntry &Entry = Directory.Targets.at(Process.Id);
+  const double ColdRate = coldRate(Entry.Registration.Service);
+  if (ColdRate > 0 && Now < Entry.ColdUntil &&
+      !judgeColdTarget(Cold, Process.Id, Entry.Registration.Domain, ColdRate,
+                       Now)
+           .IsAdmitted)
+    return false;
   const auto Known = Pauses.find(Process);
   if (Known == Pauses.end())
     return true;
   const auto Stats = StatsByTarget.find(Process.Id);
-  return admitsRequest(Known->second.Pause,
-                       Stats == StatsByTarget.end() ? 0
-                                                    : Stats->second.InFlight,
-                       TimeSource.now());
+  return admitsRequest(
+      Known->second.Pause,
+      Stats == StatsByTarget.end() ? 0 : Stats->second.InFlight, Now);
 }
 
 void GatewayState::beginAttempt(const TargetProcess &Process) {
   ++StatsByTarget[Process.Id].InFlight;
+  const auto Target = Directory.Targets.find(Process.Id);
+  if (Target != Directory.Targets.end() &&
+      coldRate(Target->second.Registration.Service) > 0)
+    recordRequest(Cold, Process.Id, TimeSource.now());
   const auto Position = Pauses.find(Process);
   if (Position == Pauses.end() || Position->second.IsResumed)
     return;
@@ -346,6 +431,11 @@
   --StatsByTarget[Process.Id].InFlight;
 }
 
+void GatewayState::withdrawAttempt(const TargetProcess &Process,
+                                   TimePoint SentAt) {
+  withdrawRequest(Cold, Process.Id, SentAt);
+}
+
 // A request from before the pause does not show that the target has room again.
 void GatewayState::recordAnswer(const TargetProcess &Process,
                                 TimePoint SentAt) {
--- a/Services/Gateway/GatewayState.h
+++ b/Services/Gateway/GatewayState.h
@@ -7,6 +7,7 @@
 #include <LibGateway/TargetDirectory.h>
 #include <LibGateway/TargetSelection.h>
 #include <LibLog/RateLimitedLog.h>
+#include <LibPlaces/ColdTargets.h>
 #include <LibPlaces/Evacuations.h>
 #include <LibRouting/Outlier.h>
 #include <LibRouting/TargetPause.h>
@@ -54,6 +55,9 @@
   /// out because of a pause. It has passed when a target that has paused is
   /// resuming and has as many requests in flight as it may have.
   std::optional<TimePoint> EarliestPauseEnd;
+  /// Earliest time at which one of the cold targets that are left out may get a
+  /// request again; unset when none is left out because it is cold.
+  std::optional<TimePoint> EarliestColdRoom;
 };
 
 /// Numbers of failed and successful attempts at one target.
@@ -148,8 +152,8 @@
   TargetDelta completeDelta() const;
 
   /// Returns the targets of a service that may receive new requests; draining
-  /// and paused ones and those of evacuated domains are left out. Ends
-  /// ejections that are over.
+  /// and paused ones and those of evacuated domains are left out, and cold ones
+  /// to which this host may send nothing now. Ends ejections that are over.
   CandidateList candidates(const ServiceName &Service,
                            const FailureDomain &HostDomain);
 
@@ -171,11 +175,24 @@
   /// True when it may receive them as a target of this service.
   bool mayUseFor(const ServiceName &Service,
                  const TargetProcess &Process) const;
+  /// Records what a target has said about its cold start in an answer to a
+  /// probe of this host, or of another host that has passed it on.
+  void recordCold(const TargetProcess &Process, Duration Left,
+                  SignalSource Source);
+  /// Returns the targets whose cold time this host has learned from themselves
+  /// since the last call, to tell the other hosts.
+  std::vector<TargetProcess> takeUnsharedCold();
+  /// True when the configuration limits the requests to cold targets.
+  bool limitsColdTargets() const { return HasColdLimits; }
+  /// Updates the hosts among which cold targets are assigned.
+  void updateDomainHosts(const DomainHosts &Hosts);
   /// True when the process may receive one more request of this host.
   bool admitsAttempt(const TargetProcess &Process) const;
   /// Counts a request as in flight at the process until endAttempt().
   void beginAttempt(const TargetProcess &Process);
   void endAttempt(const TargetProcess &Process);
+  /// Takes back an attempt that another target at the address has turned away.
+  void withdrawAttempt(const TargetProcess &Process, TimePoint SentAt);
   /// Lets a process that resumes after a pause have more requests in flight,
   /// unless the answered request was sent before the end of the pause.
   void recordAnswer(const TargetProcess &Process, TimePoint SentAt);
@@ -204,6 +221,11 @@
   void recordPause(const TargetProcess &Process, Duration Requested,
                    SignalSource Source);
   void removeEndedPauses();
+  /// Requests per second that a cold target of the service bears; 0 means no
+  /// limit.
+  double coldRate(const ServiceName &Service) const;
+  /// Lets the targets of a domain count as cold from now on.
+  void recordColdDomain(const FailureDomain &Domain);
   /// Returns false when nothing has changed.
   bool recordEvacuations(const std::set<FailureDomain> &Before,
                          std::string_view Source);
@@ -228,6 +250,10 @@
   std::vector<TargetId> UnsharedOutcomes;
   StoreRevision LastDeltaRevision;
   EvacuationView Evacuations;
+  bool HasColdLimits = false;
+  /// Changed also by questions, which keep the time of the last use.
+  mutable ColdTargetTable Cold;
+  std::vector<TargetProcess> UnsharedCold;
   std::unordered_map<TargetId, TargetStats> StatsByTarget;
   std::map<ServiceName, ServiceStats> StatsByService;
   PausePolicy Pausing;
--- a/Services/Gateway/LoadExchange.cpp
+++ b/Services/Gateway/LoadExchange.cpp
@@ -20,6 +20,9 @@
 // target between two notices, so a larger count is a malformed message.
 constexpr std::int32_t OutcomesMaximum = 10000;
 
+// Longer than the start of any target.
+constexpr Duration ColdMaximum = std::chrono::hours(24);
+
 std::uint32_t outcomeCount(std::int32_t Received) {
   return static_cast<std::uint32_t>(std::clamp(Received, 0, OutcomesMaximum));
 }
@@ -89,7 +92,9 @@
     Notice.leaving.push_back(std::move(Leaving));
     Notice.__isset.leaving = true;
   }
-  if (Notice.loads.empty() && Notice.outcomes.empty() && Notice.leaving.empty())
+  addColdTargets(Notice);
+  if (Notice.loads.empty() && Notice.outcomes.empty() &&
+      Notice.leaving.empty() && Notice.cold.empty())
     return;
   wire::PeerBody Body;
   Body.__set_load_notice(Notice);
@@ -98,6 +103,25 @@
       ++Dependencies.ProcessMetrics.counter("load_notices_dropped_total");
 }
 
+void LoadExchange::addColdTargets(wire::LoadNotice &Notice) {
+  const TimePoint Now = Dependencies.TimeSource.now();
+  const auto &Targets = Dependencies.CurrentState.targets().Targets;
+  for (const TargetProcess &Process :
+       Dependencies.CurrentState.takeUnsharedCold()) {
+    const auto Known = Targets.find(Process.Id);
+    if (Known == Targets.end())
+      continue;
+    wire::ColdTarget Cold;
+    Cold.target = Process.Id.Value;
+    Cold.started_at_ms =
+        static_cast<std::int64_t>(Process.StartedAtMilliseconds);
+    Cold.left_ms = milliseconds(std::clamp(Known->second.ColdUntil - Now,
+                                           Duration::zero(), ColdMaximum));
+    Notice.cold.push_back(std::move(Cold));
+    Notice.__isset.cold = true;
+  }
+}
+
 void LoadExchange::onLoadNotice(const wire::LoadNotice &Notice) {
   const TimePoint Now = Dependencies.TimeSource.now();
   for (const wire::ObservedLoad &Load : Notice.loads) {
@@ -119,6 +143,12 @@
         {TargetId(Leaving.target),
          static_cast<std::uint64_t>(Leaving.started_at_ms)},
         SignalSource::Host);
+  for (const wire::ColdTarget &Cold : Notice.cold)
+    Dependencies.CurrentState.recordCold(
+        {TargetId(Cold.target), static_cast<std::uint64_t>(Cold.started_at_ms)},
+        std::clamp<Duration>(std::chrono::milliseconds(Cold.left_ms),
+                             Duration::zero(), ColdMaximum),
+        SignalSource::Host);
 }
 
 } // namespace comfreyrill
--- a/Services/Gateway/LoadExchange.h
+++ b/Services/Gateway/LoadExchange.h
@@ -10,8 +10,8 @@
 namespace comfreyrill {
 
 /// Shares the load reports and attempt outcomes of targets, and the targets
-/// that leave, among the hosts of this failure domain, so that each host
-/// selects targets with the observations of all.
+/// that leave or are cold, among the hosts of this failure domain, so that each
+/// host selects targets with the observations of all.
 class LoadExchange : public std::enable_shared_from_this<LoadExchange> {
 public:
   LoadExchange(const GatewayDependencies &Dependencies,
@@ -24,6 +24,7 @@
 private:
   Awaitable<void> run();
   void sendNotice();
+  void addColdTargets(wire::LoadNotice &Notice);
 
   const GatewayDependencies &Dependencies;
   const MemberTable &Members;
--- a/Services/Gateway/RequestExecution.cpp
+++ b/Services/Gateway/RequestExecution.cpp
@@ -190,6 +190,14 @@
       Dependencies.CurrentState.candidates(Service, Dependencies.HostDomain);
   const bool AreAllPaused =
       Listed.Targets.empty() && Listed.EarliestPauseEnd.has_value();
+  const TimePoint Now = Dependencies.TimeSource.now();
+  if (Listed.Targets.empty() && Listed.EarliestColdRoom && !AreAllPaused) {
+    Refusal = RefusalCause::Cold;
+    return refuse(http::status::service_unavailable,
+                  HasCallerLeft ? "caller_left" : refusalCauseName(Refusal),
+                  retryAfterPause(*Listed.EarliestColdRoom - Now, workTime(),
+                                  Dependencies.Generator));
+  }
   if (AreAllPaused)
     Refusal = RefusalCause::Paused;
   else if (Refusal == RefusalCause::Paused)
@@ -423,6 +431,8 @@
   if (Answer) {
     HeldAnswer.hold(Answer.value().body().size());
     const TargetAnswer Read = platform::decodeAnswer(Answer.value());
+    if (Read.IsMisdirected)
+      Dependencies.CurrentState.withdrawAttempt(Process, Begin);
     Report.Outcome = classifyAnswer(Read);
     // A target that pauses has not failed.
     HasAskedForPause =
--- a/Services/Gateway/TargetProber.cpp
+++ b/Services/Gateway/TargetProber.cpp
@@ -117,6 +117,9 @@
       IsAnswered = true;
       if (Read.Load && !IsMisdirected)
         CurrentState.recordLoad(Candidate.Id, *Read.Load);
+      if (Read.ColdTimeLeft && !IsMisdirected)
+        CurrentState.recordCold(Process, *Read.ColdTimeLeft,
+                                SignalSource::Probe);
       ConnectedTarget Target{
           {Candidate, Read.Load.value_or(LoadReport{}), Read.IsHealthy},
           Address,
--- a/Tests/Gateway/TestGatewayState.cpp
+++ b/Tests/Gateway/TestGatewayState.cpp
@@ -28,6 +28,48 @@
     return Made;
   }
 
+  /// A configuration whose cold targets bear six requests per second.
+  static Configuration coldConfiguration() {
+    Configuration Made = configuration(1);
+    ServiceDescription Stock;
+    Stock.Name = ServiceName("stock");
+    Stock.ColdTime = 20s;
+    Stock.ColdRate = 6;
+    Made.Services = {Stock};
+    return Made;
+  }
+
+  static TargetRegistration coldTarget(std::string Id) {
+    TargetRegistration Made = target(std::move(Id));
+    Made.ColdTime = 20s;
+    return Made;
+  }
+
+  static DomainHosts domainHosts(std::size_t Self, std::size_t Count) {
+    DomainHosts Made;
+    Made.Domain = FailureDomain("west");
+    for (std::size_t Index = 0; Index < Count; ++Index) {
+      const HostId Id("edge-" + std::to_string(Index));
+      if (Index == Self)
+        Made.Self = Id;
+      else
+        Made.Others.push_back({Id, true});
+    }
+    return Made;
+  }
+
+  /// Lets the time pass as on the only host of the domain.
+  void runAlone(Duration Time) {
+    for (Duration Passed{0}; Passed < Time; Passed += 50ms) {
+      TimeSource.advance(50ms);
+      CurrentState.updateDomainHosts(domainHosts(0, 1));
+    }
+  }
+
+  CandidateList listed() {
+    return CurrentState.candidates(ServiceName("stock"), FailureDomain("west"));
+  }
+
   ManualClock TimeSource;
   Log Output{LogLevel::Error, ""};
   RateLimitedLog Events{Output, TimeSource};
@@ -588,5 +630,140 @@
   EXPECT_TRUE(CurrentState.admitsAttempt(processOf(target("a"))));
 }
 
+// Guards against requests beyond what a cold target bears, and against limits
+// where the configuration names none.
+TEST_F(GatewayStateTest, ColdTargetsGetNoMoreThanTheirLimit) {
+  const TargetProcess Cold = processOf(coldTarget("a"));
+  CurrentState.applyTargetList({coldTarget("a"), target("b")}, {1}, "store");
+  EXPECT_EQ(listed().Targets.size(), 2U);
+  EXPECT_FALSE(CurrentState.limitsColdTargets());
+  EXPECT_TRUE(CurrentState.admitsAttempt(Cold));
+
+  CurrentState.applyConfiguration(coldConfiguration(), "", "test");
+  EXPECT_TRUE(CurrentState.limitsColdTargets());
+  EXPECT_EQ(listed().Targets.size(), 1U);
+  runAlone(3s);
+  EXPECT_EQ(listed().Targets.size(), 2U);
+  for (int Count = 0; Count < 6; ++Count) {
+    EXPECT_TRUE(CurrentState.admitsAttempt(Cold)) << Count;
+    CurrentState.beginAttempt(Cold);
+    CurrentState.endAttempt(Cold);
+  }
+  EXPECT_FALSE(CurrentState.admitsAttempt(Cold));
+  // Probes are no requests.
+  EXPECT_TRUE(CurrentState.mayUse(Cold));
+  EXPECT_EQ(listed().Targets.size(), 1U);
+  EXPECT_EQ(listed().EarliestColdRoom, TimeSource.now() + 1s);
+  // Another target had the address and has turned a request away.
+  CurrentState.withdrawAttempt(Cold, TimeSource.now());
+  EXPECT_TRUE(CurrentState.admitsAttempt(Cold));
+  runAlone(20s);
+  for (int Count = 0; Count < 20; ++Count) {
+    EXPECT_TRUE(CurrentState.admitsAttempt(Cold)) << Count;
+    CurrentState.beginAttempt(Cold);
+    CurrentState.endAttempt(Cold);
+  }
+}
+
+// Guards against a service that is refused although a target of it is warm, or
+// that tells its callers to come back at once.
+TEST_F(GatewayStateTest, ColdServiceTellsWhenItHasRoom) {
+  CurrentState.applyConfiguration(coldConfiguration(), "", "test");
+  CurrentState.applyTargetList({coldTarget("a")}, {1}, "store");
+  runAlone(1s);
+  EXPECT_TRUE(listed().Targets.empty());
+  ASSERT_TRUE(listed().EarliestColdRoom);
+  EXPECT_GT(*listed().EarliestColdRoom, TimeSource.now());
+  EXPECT_LE(*listed().EarliestColdRoom, TimeSource.now() + AssignmentDelay);
+}
+
+// Guards against targets that crash after an evacuation because they count as
+// warm, and against ones that stay limited although they say that they are not.
+TEST_F(GatewayStateTest, TargetsAreColdAfterAnEvacuation) {
+  CurrentState.applyConfiguration(coldConfiguration(), "", "test");
+  CurrentState.applyTargetList({target("a"), target("b")}, {1}, "store");
+  const auto IsCold = [&](const std::string &Id) {
+    return TimeSource.now() <
+           CurrentState.targets().Targets.at(TargetId(Id)).ColdUntil;
+  };
+  EXPECT_FALSE(IsCold("a"));
+  CurrentState.applyEvacuationReport({{5}, {FailureDomain("west")}, true},
+                                     "store");
+  CurrentState.applyEvacuationReport({{6}, {}, true}, "store");
+  EXPECT_TRUE(IsCold("a"));
+  EXPECT_TRUE(IsCold("b"));
+  CurrentState.recordCold(processOf(target("a")), 0s, SignalSource::Probe);
+  EXPECT_FALSE(IsCold("a"));
+  TimeSource.advance(19s);
+  EXPECT_TRUE(IsCold("b"));
+  TimeSource.advance(2s);
+  EXPECT_FALSE(IsCold("b"));
+}
+
+// Guards against a cold target of which only the host that has probed it knows,
+// and against notices that go to and fro.
+TEST_F(GatewayStateTest, ObservedColdTargetsAreSharedOnce) {
+  CurrentState.applyTargetList({target("a")}, {1}, "store");
+  const TargetProcess Process = processOf(target("a"));
+  CurrentState.recordCold(Process, 10s, SignalSource::Host);
+  EXPECT_TRUE(CurrentState.takeUnsharedCold().empty());
+  CurrentState.recordCold(Process, 10s, SignalSource::Probe);
+  EXPECT_TRUE(CurrentState.takeUnsharedCold().empty());
+  CurrentState.recordCold(Process, 15s, SignalSource::Probe);
+  EXPECT_EQ(CurrentState.takeUnsharedCold().size(), 1U);
+  // Another process of the target.
+  CurrentState.recordCold({Process.Id, 7}, 90s, SignalSource::Host);
+  TimeSource.advance(16s);
+  EXPECT_FALSE(listed().Targets.front().IsCold);
+}
+
+// Guards against cold targets that crash when many are cold at once, as after
+// an evacuation, while many hosts send to the service.
+TEST_F(GatewayStateTest, ThirdOfTheTargetsMayBeColdAtOnce) {
+  constexpr std::size_t HostCount = 13;
+  constexpr std::size_t TargetCount = 24;
+  std::vector<TargetRegistration> Targets;
+  for (std::size_t Index = 0; Index < TargetCount; ++Index) {
+    const std::string Id = "i-" + std::to_string(Index);
+    Targets.push_back(Index % 3 == 0 ? coldTarget(Id) : target(Id));
+  }
+  std::vector<std::unique_ptr<GatewayState>> Hosts;
+  for (std::size_t Host = 0; Host < HostCount; ++Host) {
+    Hosts.push_back(
+        std::make_unique<GatewayState>(TimeSource, Generator, Events));
+    Hosts.back()->applyConfiguration(coldConfiguration(), "", "test");
+    Hosts.back()->applyTargetList(Targets, {1}, "store");
+  }
+  std::map<TargetId, std::vector<TimePoint>> SentAt;
+  std::size_t Cold = 0;
+  // 15 s, with 13 requests each 20 ms.
+  for (int Step = 0; Step < 750; ++Step) {
+    TimeSource.advance(20ms);
+    for (std::size_t Host = 0; Host < HostCount; ++Host) {
+      GatewayState &State = *Hosts[Host];
+      State.updateDomainHosts(domainHosts(Host, HostCount));
+      const auto Found =
+          State.candidates(ServiceName("stock"), FailureDomain("west")).Targets;
+      ASSERT_FALSE(Found.empty());
+      const auto &Chosen = Found[randomIndex(Generator, Found.size())];
+      const TargetProcess Process{Chosen.Id, Chosen.StartedAtMilliseconds};
+      ASSERT_TRUE(State.admitsAttempt(Process));
+      State.beginAttempt(Process);
+      State.endAttempt(Process);
+      if (Chosen.IsCold) {
+        ++Cold;
+        SentAt[Chosen.Id].push_back(TimeSource.now());
+      }
+    }
+  }
+  for (const auto &[Id, Times] : SentAt)
+    for (std::size_t Index = 6; Index < Times.size(); ++Index)
+      ASSERT_GE(Times[Index] - Times[Index - 6], 1s) << Id.Value;
+  // The hosts wait 2 s, then 8 targets bear 6 requests per second for 13 s. The
+  // hosts choose at random, so a target is not chosen at once when it has room.
+  EXPECT_EQ(SentAt.size(), TargetCount / 3);
+  EXPECT_GT(Cold, 8 * 6 * 13U / 2);
+}
+
 } // namespace
 } // namespace comfreyrill
--- a/Tests/Gateway/TestLoadExchange.cpp
+++ b/Tests/Gateway/TestLoadExchange.cpp
@@ -77,6 +77,18 @@
   EXPECT_EQ(Notices, 1);
   EXPECT_FALSE(Receiver.mayUseTarget());
   EXPECT_TRUE(Receiver.CurrentState.takeUnsharedLeaving().empty());
+
+  // A cold target that one host has observed.
+  Sender.CurrentState.recordCold(processOf(target()), 10s, SignalSource::Probe);
+  const TimePoint ColdUntil = TimeSource.now() + 2s;
+  while (Notices == 1 && TimeSource.now() < ColdUntil)
+    Loop.run_one_for(10ms);
+  EXPECT_EQ(Notices, 2);
+  const TimePoint Known =
+      Receiver.CurrentState.targets().Targets.at(target().Id).ColdUntil;
+  EXPECT_GT(Known, TimeSource.now() + 8s);
+  EXPECT_LE(Known, TimeSource.now() + 10s);
+  EXPECT_TRUE(Receiver.CurrentState.takeUnsharedCold().empty());
   Server->close();
 }
 
--- a/Tests/Gateway/TestRequestExecution.cpp
+++ b/Tests/Gateway/TestRequestExecution.cpp
@@ -1153,5 +1153,45 @@
   EXPECT_LT(TimeSource.now() - Begin, 100ms);
 }
 
+// Guards against a request beyond what the cold targets bear that is sent or
+// held, and against a caller that is told to come back at once.
+TEST_F(RequestExecutionTest, ColdServiceRefusesAtOnceWhatItDoesNotBear) {
+  configure(ExecutionSemantics::Idempotent);
+  Configuration Limited = *CurrentState.configuration();
+  Limited.Version = {4};
+  Limited.Services.front().ColdRate = 1;
+  CurrentState.applyConfiguration(std::move(Limited), "", "test");
+  FakeTarget &Cold = addTarget(answerWhole);
+  CurrentState.recordCold({TargetId("i-1"), 0}, 1min, SignalSource::Probe);
+  const TimePoint Begin = TimeSource.now();
+  begin();
+  const HttpResponse Response = finish();
+  EXPECT_LT(TimeSource.now() - Begin, 300ms);
+  EXPECT_EQ(Response.result(), http::status::service_unavailable);
+  EXPECT_EQ(Response.body(), R"({"reason":"cold"})");
+  const double RetryAfter = std::stod(std::string(Response["Retry-After"]));
+  EXPECT_GE(RetryAfter, 0.9);
+  EXPECT_LE(RetryAfter, 4);
+  EXPECT_EQ(Cold.Runs + Cold.Probes, 0);
+}
+
+// Guards against a request to a target that says in its answer to the probe
+// that it is cold, and of which this host may send nothing.
+TEST_F(RequestExecutionTest, ProbeTellsThatTheTargetIsCold) {
+  configure(ExecutionSemantics::Idempotent);
+  Configuration Limited = *CurrentState.configuration();
+  Limited.Version = {4};
+  Limited.Services.front().ColdRate = 1;
+  CurrentState.applyConfiguration(std::move(Limited), "", "test");
+  FakeTarget &Cold = addTarget(answerWhole);
+  Cold.ChangeHealth = [](HttpResponse &Health) {
+    Health.set("Cold-Remaining", "12.5");
+  };
+  begin();
+  EXPECT_EQ(finish().body(), R"({"reason":"cold"})");
+  EXPECT_EQ(Cold.Runs, 0);
+  EXPECT_EQ(Cold.Probes, 1);
+}
+
 } // namespace
 } // namespace comfreyrill
