Gateway: Tell hosts that join of evacuated domains at once

A host serves callers within milliseconds of its start, but learned of an evacuation only with the next repeat, up to a second later. Until then it could send requests to the evacuated domain.

Each host that hears of a new one in its failure domain sends it the evacuated domains, if there are any.

--- a/Services/Gateway/EvacuationExchange.cpp
+++ b/Services/Gateway/EvacuationExchange.cpp
@@ -80,6 +80,14 @@
   sendToOtherDomains();
 }
 
+// A host serves callers within milliseconds of its start, well before the next
+// repeat.
+void EvacuationExchange::onJoin(const Endpoint &Joined) {
+  if (IsEnabled &&
+      !evacuatedDomains(Dependencies.CurrentState.evacuations()).empty())
+    send(Joined);
+}
+
 // A delegate passes on what is news to it, so a report reaches each host once
 // and does not go round.
 void EvacuationExchange::onNotice(const wire::EvacuationList &Notice) {
--- a/Services/Gateway/EvacuationExchange.h
+++ b/Services/Gateway/EvacuationExchange.h
@@ -32,6 +32,9 @@
   /// Called when the state has been updated from the store.
   void publish();
 
+  /// Tells a host that has just joined the failure domain.
+  void onJoin(const Endpoint &Joined);
+
   void onNotice(const wire::EvacuationList &Notice);
 
 private:
--- a/Services/Gateway/FleetService.cpp
+++ b/Services/Gateway/FleetService.cpp
@@ -161,6 +161,8 @@
     Line.field("host", Sender.Host.Value)
         .field("incarnation", hexadecimal(Sender.Incarnation.Value));
     Dependencies.Events.write(LogLevel::Info, "host_joined", Line);
+    if (const Peer *Joined = findPeer(Members, Sender.Host))
+      Evacuations.onJoin(Joined->Description.PeerAddress);
     announce();
   }
   Replicator.tick();
--- a/Tests/Gateway/TestEvacuationExchange.cpp
+++ b/Tests/Gateway/TestEvacuationExchange.cpp
@@ -121,6 +121,19 @@
       runUntil([&] { return Started.isEvacuated() && Remote.isEvacuated(); }));
 }
 
+// Guards against requests of a host that has just started to an evacuated
+// domain, in the time until the next repeat.
+TEST_F(EvacuationExchangeTest, HostThatJoinsIsToldAtOnce) {
+  EvacuatingHost First(Loop, TimeSource, "west");
+  EvacuatingHost Started(Loop, TimeSource, "west");
+  First.Exchange->onJoin(Started.Members.Self.PeerAddress);
+  Loop.run_for(100ms);
+  EXPECT_EQ(Started.Notices, 0);
+  First.change(5, true);
+  First.Exchange->onJoin(Started.Members.Self.PeerAddress);
+  EXPECT_TRUE(runUntil([&] { return Started.isEvacuated(); }, 700ms));
+}
+
 // Guards against repeats that grow with the square of the hosts, and against
 // news that goes to and fro.
 TEST_F(EvacuationExchangeTest, OnlyTheWatcherRepeats) {
