LibAccount: Test the reduced share without an owner

Cause: no test failed when hosts used their share of the full rate while an owner did not respond to them. Tests: TestLibAccount, 34 passed; the changed test fails with the full rate.

--- a/Tests/LibAccount/TestAllotments.cpp
+++ b/Tests/LibAccount/TestAllotments.cpp
@@ -112,6 +112,12 @@
       decide(State, Lease, Other, Now + 29ms, Generator, Now);
   EXPECT_NE(Late.Step, TokenStep::Ask);
   EXPECT_EQ(Late.Source, TokenSource::Fallback);
+  // The owner may respond to other hosts: the share is that of a reduced rate,
+  // 12 of 100 tokens per second for 5 hosts.
+  const TokenDecision Next =
+      decide(State, Lease, Other, Now + 29ms, Generator, Now);
+  EXPECT_EQ(Next.Step, TokenStep::Refused);
+  EXPECT_GE(Next.RetryAfter, 400ms);
 }
 
 // Guards against a new host that takes itself for the owner of everything.
