--- a/Libraries/LibPeer/Codec.cpp
+++ b/Libraries/LibPeer/Codec.cpp
@@ -48,6 +48,8 @@
       Body.load_notice.leaving.size() > Limit ||
       Body.load_notice.crashes.crashes.size() > Limit ||
       Body.load_notice.crashes.answers.size() > Limit ||
+      Body.load_notice.cold.size() > Limit ||
+      Body.load_notice.evacuations.failure_domains.size() > Limit ||
       Body.load_notice.domains.summaries.size() > Limit ||
       Body.load_notice.domains.wanted.size() > Limit)
     return true;
--- a/Services/Gateway/DomainRouting.cpp
+++ b/Services/Gateway/DomainRouting.cpp
@@ -89,7 +89,8 @@
   Input.Received = std::exchange(Entry.Received, 0);
   Input.Refused = std::exchange(Entry.Refused, 0);
   Input.Waiting = Entry.Waiting;
-  Input.WorkTime = Dependencies.CurrentState.serviceStats(Service).WorkTime;
+  Input.WorkTime =
+      Dependencies.CurrentState.serviceStats(Service).Times.OfService.Mean;
   for (const auto &[Domain, Load] : knownLoads(Service, &Input.InFlight)) {
     DomainCondition Condition;
     Condition.Domain = Domain;
