LibHttp: Name a test's printer as the linter asks

Cause: the linter rejects the capital of PrintTo. Change: the parameter of the tests of leaving callers has an output operator.

Tested: TestLibHttp (71 tests).

--- a/Tests/LibHttp/TestHttpServerPipeline.cpp
+++ b/Tests/LibHttp/TestHttpServerPipeline.cpp
@@ -336,8 +336,8 @@
   std::string Later = "";
 };
 
-void PrintTo(const Leaving &Case, std::ostream *Output) {
-  *Output << Case.Name;
+std::ostream &operator<<(std::ostream &Output, const Leaving &Case) {
+  return Output << Case.Name;
 }
 
 class HttpServerLeavingTest : public testing::TestWithParam<Leaving>,
