--- a/Services/Gateway/GatewayState.h
+++ b/Services/Gateway/GatewayState.h
@@ -251,7 +251,7 @@
   StoreRevision LastDeltaRevision;
   EvacuationView Evacuations;
   bool HasColdLimits = false;
-  /// Changed also by questions, which keep the time of the last use.
+  /// Mutable because judging a target records the time of its last use.
   mutable ColdTargetTable Cold;
   std::vector<TargetProcess> UnsharedCold;
   std::unordered_map<TargetId, TargetStats> StatsByTarget;
