--- a/Tests/Gateway/TestGatewaySettings.cpp
+++ b/Tests/Gateway/TestGatewaySettings.cpp
@@ -97,37 +97,39 @@
   EXPECT_TRUE(applyEnvironment(Named.value(), {"", "", "2e-6"}));
   EXPECT_EQ(Named.value().DomainBytePrice, 1e-7);
   EXPECT_FALSE(parseGatewaySettings(Fields + R"(,"domain_byte_price":-1})"));
-  // Guards against evacuations that are ignored because the platform alone
-  // announces them, and against a file that cannot turn them off.
-  TEST(GatewaySettings, EvacuationsAreAnnouncedByTheFileOrTheEnvironment) {
-    GatewayEnvironment Environment;
-    Environment.HasEvacuations = true;
-    auto Read = parseGatewaySettings(Valid);
-    ASSERT_TRUE(Read) << Read.error().Message;
-    auto Other = Read.value();
-    EXPECT_TRUE(applyEnvironment(Other, {}));
-    EXPECT_FALSE(Other.HasEvacuations.value_or(false));
-    EXPECT_TRUE(applyEnvironment(Read.value(), Environment));
-    EXPECT_TRUE(Read.value().HasEvacuations.value_or(false));
-
-    const std::string Fields(Valid.substr(0, Valid.size() - 1));
-    auto Named = parseGatewaySettings(Fields + R"(,"has_evacuations":false})");
-    ASSERT_TRUE(Named) << Named.error().Message;
-    EXPECT_TRUE(applyEnvironment(Named.value(), Environment));
-    EXPECT_FALSE(Named.value().HasEvacuations.value_or(true));
-    EXPECT_FALSE(parseGatewaySettings(Fields + R"(,"has_evacuations":1})"));
-  }
-
-  // Guards against reporting only the first error, which would make an operator
-  // correct them one by one.
-  TEST(GatewaySettings, AllErrorsAreReportedAtOnce) {
-    const auto Read = parseGatewaySettings(
-        R"({"host":"","caller_address":"nowhere","stop_time_s":-1,"extra":1})");
-    ASSERT_FALSE(Read);
-    for (const char *Name : {"host", "caller_address", "stop_time_s", "extra",
-                             "store_address", "failure_domain"})
-      EXPECT_NE(Read.error().Message.find(Name), std::string::npos) << Name;
-  }
+}
+
+// Guards against evacuations that are ignored because the platform alone
+// announces them, and against a file that cannot turn them off.
+TEST(GatewaySettings, EvacuationsAreAnnouncedByTheFileOrTheEnvironment) {
+  GatewayEnvironment Environment;
+  Environment.HasEvacuations = true;
+  auto Read = parseGatewaySettings(Valid);
+  ASSERT_TRUE(Read) << Read.error().Message;
+  auto Other = Read.value();
+  EXPECT_TRUE(applyEnvironment(Other, {}));
+  EXPECT_FALSE(Other.HasEvacuations.value_or(false));
+  EXPECT_TRUE(applyEnvironment(Read.value(), Environment));
+  EXPECT_TRUE(Read.value().HasEvacuations.value_or(false));
+
+  const std::string Fields(Valid.substr(0, Valid.size() - 1));
+  auto Named = parseGatewaySettings(Fields + R"(,"has_evacuations":false})");
+  ASSERT_TRUE(Named) << Named.error().Message;
+  EXPECT_TRUE(applyEnvironment(Named.value(), Environment));
+  EXPECT_FALSE(Named.value().HasEvacuations.value_or(true));
+  EXPECT_FALSE(parseGatewaySettings(Fields + R"(,"has_evacuations":1})"));
+}
+
+// Guards against reporting only the first error, which would make an operator
+// correct them one by one.
+TEST(GatewaySettings, AllErrorsAreReportedAtOnce) {
+  const auto Read = parseGatewaySettings(
+      R"({"host":"","caller_address":"nowhere","stop_time_s":-1,"extra":1})");
+  ASSERT_FALSE(Read);
+  for (const char *Name : {"host", "caller_address", "stop_time_s", "extra",
+                           "store_address", "failure_domain"})
+    EXPECT_NE(Read.error().Message.find(Name), std::string::npos) << Name;
+}
 
 } // namespace
 } // namespace comfreyrill
