--- a/Tests/LibGateway/TestTargetSelection.cpp
+++ b/Tests/LibGateway/TestTargetSelection.cpp
@@ -76,107 +76,109 @@
   };
   EXPECT_LT(NewConnections(load(0, 2)), 90U);
   EXPECT_GT(NewConnections(load(2, 2, 2)), 240U);
-  // Guards against a factor that is ignored: a request that is to leave its
-  // failure domain would stay, and one that is to stay would leave.
-  TEST(TargetSelection, FactorsOfTheCallerReplaceTheDefaults) {
-    const TargetCandidate Local = candidate("local");
-    const TargetCandidate Remote = candidate("remote", false);
-    const std::vector<ProbedCandidate> Probed{{Local, load(1, 6, 1.1), true},
-                                              {Remote, load(1, 6), true}};
-    EXPECT_EQ(selectTarget(Probed), 0U);
-    EXPECT_EQ(selectTarget(Probed, {1, 1}), 1U);
-    EXPECT_EQ(selectTarget(Probed, {2, 1}), 0U);
-    Random Generator(20261204);
-    EXPECT_EQ(
-        selectProbeCandidates({Local, Remote}, 1, Generator, {1, 4}).front().Id,
-        Local.Id);
-    EXPECT_EQ(selectProbeCandidates({Local, Remote}, 1, Generator, {1, 0.25})
-                  .front()
-                  .Id,
-              Remote.Id);
-  }
-
-  // Guards against a new connection for nearly every probe in a fleet with
-  // hundreds of targets, and against a subset that is kept while it is busy.
-  TEST(TargetSelection, LocalTargetsOutsideTheSubsetAreProbedWhenItIsBusy) {
-    Random Generator(3);
-    const auto ProbedOutside = [&](const LoadReport &SubsetLoad) {
-      std::vector<TargetCandidate> Candidates;
-      for (int Index = 0; Index < 100; ++Index) {
-        Candidates.push_back(candidate("t" + std::to_string(Index)));
-        Candidates.back().IsInPreferredSubset = Index < 20;
-        if (Index < 20)
-          Candidates.back().LastLoad = SubsetLoad;
-      }
-      std::size_t Outside = 0;
-      for (int Round = 0; Round < 100; ++Round)
-        for (const TargetCandidate &Selected :
-             selectProbeCandidates(Candidates, 3, Generator))
-          Outside += Selected.IsInPreferredSubset ? 0 : 1;
-      return Outside;
-    };
-    EXPECT_EQ(ProbedOutside(load(1, 6)), 0U);
-    EXPECT_EQ(ProbedOutside(load(6, 6, 4)), 300U);
-  }
-
-  // Guards against rejecting all requests of a service because its targets
-  // report themselves as unhealthy although they work.
-  TEST(TargetSelection, UnhealthyAndSuspectTargetsAreTheLastResort) {
-    TargetCandidate Suspect = candidate("doubtful");
-    Suspect.IsSuspect = true;
-    EXPECT_EQ(chosen({{candidate("ill"), load(0, 6), false},
-                      {Suspect, load(0, 6), true},
-                      {candidate("well"), load(5, 6, 3), true}}),
-              "well");
-    EXPECT_EQ(chosen({{candidate("ill"), load(0, 6), false}}), "ill");
-    EXPECT_EQ(chosen({}), "");
-  }
+}
 
-  TEST(TargetSelection, UsefulSlotsGiveTheHighestThroughput) {
-    EXPECT_EQ(usefulSlots(6), 4U);
-    EXPECT_EQ(usefulSlots(2), 2U);
-    EXPECT_EQ(usefulSlots(1), 1U);
-    EXPECT_EQ(usefulSlots(0), 1U);
-    EXPECT_FALSE(hasFreeSlot(load(4, 6)));
-    EXPECT_TRUE(hasFreeSlot(load(3, 6)));
-    EXPECT_TRUE(hasFreeSlot(load(1, 2)));
-  }
+// Guards against a factor that is ignored: a request that is to leave its
+// failure domain would stay, and one that is to stay would leave.
+TEST(TargetSelection, FactorsOfTheCallerReplaceTheDefaults) {
+  const TargetCandidate Local = candidate("local");
+  const TargetCandidate Remote = candidate("remote", false);
+  const std::vector<ProbedCandidate> Probed{{Local, load(1, 6, 1.1), true},
+                                            {Remote, load(1, 6), true}};
+  EXPECT_EQ(selectTarget(Probed), 0U);
+  EXPECT_EQ(selectTarget(Probed, {1, 1}), 1U);
+  EXPECT_EQ(selectTarget(Probed, {2, 1}), 0U);
+  Random Generator(20261204);
+  EXPECT_EQ(
+      selectProbeCandidates({Local, Remote}, 1, Generator, {1, 4}).front().Id,
+      Local.Id);
+  EXPECT_EQ(selectProbeCandidates({Local, Remote}, 1, Generator, {1, 0.25})
+                .front()
+                .Id,
+            Remote.Id);
+}
 
-  // Guards against probing targets that were reported busy a moment ago.
-  TEST(TargetSelection, IdleTargetsAreProbedFirst) {
+// Guards against a new connection for nearly every probe in a fleet with
+// hundreds of targets, and against a subset that is kept while it is busy.
+TEST(TargetSelection, LocalTargetsOutsideTheSubsetAreProbedWhenItIsBusy) {
+  Random Generator(3);
+  const auto ProbedOutside = [&](const LoadReport &SubsetLoad) {
     std::vector<TargetCandidate> Candidates;
-    for (int Index = 0; Index < 10; ++Index) {
-      Candidates.push_back(candidate(std::to_string(Index)));
-      Candidates.back().LastLoad = Index == 7 ? load(0, 6) : load(6, 6, 4);
-      Candidates.back().LoadAge = 10ms;
-    }
-    Random Generator(20261204);
-    for (int Round = 0; Round < 50; ++Round) {
-      const auto Probes = selectProbeCandidates(Candidates, 2, Generator);
-      ASSERT_EQ(Probes.size(), 2U);
-      EXPECT_EQ(Probes.front().Id, TargetId("7"));
+    for (int Index = 0; Index < 100; ++Index) {
+      Candidates.push_back(candidate("t" + std::to_string(Index)));
+      Candidates.back().IsInPreferredSubset = Index < 20;
+      if (Index < 20)
+        Candidates.back().LastLoad = SubsetLoad;
     }
-  }
+    std::size_t Outside = 0;
+    for (int Round = 0; Round < 100; ++Round)
+      for (const TargetCandidate &Selected :
+           selectProbeCandidates(Candidates, 3, Generator))
+        Outside += Selected.IsInPreferredSubset ? 0 : 1;
+    return Outside;
+  };
+  EXPECT_EQ(ProbedOutside(load(1, 6)), 0U);
+  EXPECT_EQ(ProbedOutside(load(6, 6, 4)), 300U);
+}
 
-  // Guards against never probing a target again after one report of high load.
-  TEST(TargetSelection, OldLoadReportsLoseTheirWeight) {
-    TargetCandidate Old = candidate("old");
-    Old.LastLoad = load(6, 6, 4);
-    Old.LoadAge = 5s;
-    TargetCandidate Busy = candidate("busy");
-    Busy.LastLoad = load(6, 6, 4);
-    Busy.LoadAge = 10ms;
-    Random Generator(20261204);
-    EXPECT_EQ(selectProbeCandidates({Busy, Old}, 1, Generator).front().Id,
-              TargetId("old"));
-  }
+// Guards against rejecting all requests of a service because its targets
+// report themselves as unhealthy although they work.
+TEST(TargetSelection, UnhealthyAndSuspectTargetsAreTheLastResort) {
+  TargetCandidate Suspect = candidate("doubtful");
+  Suspect.IsSuspect = true;
+  EXPECT_EQ(chosen({{candidate("ill"), load(0, 6), false},
+                    {Suspect, load(0, 6), true},
+                    {candidate("well"), load(5, 6, 3), true}}),
+            "well");
+  EXPECT_EQ(chosen({{candidate("ill"), load(0, 6), false}}), "ill");
+  EXPECT_EQ(chosen({}), "");
+}
+
+TEST(TargetSelection, UsefulSlotsGiveTheHighestThroughput) {
+  EXPECT_EQ(usefulSlots(6), 4U);
+  EXPECT_EQ(usefulSlots(2), 2U);
+  EXPECT_EQ(usefulSlots(1), 1U);
+  EXPECT_EQ(usefulSlots(0), 1U);
+  EXPECT_FALSE(hasFreeSlot(load(4, 6)));
+  EXPECT_TRUE(hasFreeSlot(load(3, 6)));
+  EXPECT_TRUE(hasFreeSlot(load(1, 2)));
+}
 
-  TEST(TargetSelection, ProbesAreLimitedByCountAndCandidates) {
-    Random Generator(1);
-    EXPECT_EQ(selectProbeCandidates({candidate("a")}, 5, Generator).size(), 1U);
-    EXPECT_TRUE(selectProbeCandidates({}, 5, Generator).empty());
-    EXPECT_TRUE(selectProbeCandidates({candidate("a")}, 0, Generator).empty());
+// Guards against probing targets that were reported busy a moment ago.
+TEST(TargetSelection, IdleTargetsAreProbedFirst) {
+  std::vector<TargetCandidate> Candidates;
+  for (int Index = 0; Index < 10; ++Index) {
+    Candidates.push_back(candidate(std::to_string(Index)));
+    Candidates.back().LastLoad = Index == 7 ? load(0, 6) : load(6, 6, 4);
+    Candidates.back().LoadAge = 10ms;
   }
+  Random Generator(20261204);
+  for (int Round = 0; Round < 50; ++Round) {
+    const auto Probes = selectProbeCandidates(Candidates, 2, Generator);
+    ASSERT_EQ(Probes.size(), 2U);
+    EXPECT_EQ(Probes.front().Id, TargetId("7"));
+  }
+}
+
+// Guards against never probing a target again after one report of high load.
+TEST(TargetSelection, OldLoadReportsLoseTheirWeight) {
+  TargetCandidate Old = candidate("old");
+  Old.LastLoad = load(6, 6, 4);
+  Old.LoadAge = 5s;
+  TargetCandidate Busy = candidate("busy");
+  Busy.LastLoad = load(6, 6, 4);
+  Busy.LoadAge = 10ms;
+  Random Generator(20261204);
+  EXPECT_EQ(selectProbeCandidates({Busy, Old}, 1, Generator).front().Id,
+            TargetId("old"));
+}
+
+TEST(TargetSelection, ProbesAreLimitedByCountAndCandidates) {
+  Random Generator(1);
+  EXPECT_EQ(selectProbeCandidates({candidate("a")}, 5, Generator).size(), 1U);
+  EXPECT_TRUE(selectProbeCandidates({}, 5, Generator).empty());
+  EXPECT_TRUE(selectProbeCandidates({candidate("a")}, 0, Generator).empty());
+}
 
 } // namespace
 } // namespace comfreyrill
