Gateway: Probe targets that have just joined like the others

Cause: targets with an idle connection are probed first, and nobody has one to a target that has just joined; before, its cold time let most hosts connect to it, which the limit on cold targets ended.

Change: for ten seconds after a host first lists it, a target that joins a fleet that the host knows is not put behind those with a connection.

Tested: TestLibGateway; the test of the state is in TestGateway.

--- a/Libraries/LibGateway/TargetSelection.cpp
+++ b/Libraries/LibGateway/TargetSelection.cpp
@@ -22,7 +22,8 @@
 // Load that this answers: few requests per host and many targets. Each host
 // would open connections to all targets and use most of them once. Targets to
 // which it has an idle connection are probed first, so that each host works
-// with few targets, and with further ones when these are busy or slow.
+// with few targets, and with further ones when these are busy or slow. Targets
+// that have just joined are exempt, or they would get nothing in calm times.
 constexpr double NewConnectionProbeFactor = 1.5;
 // An idle target at its usual speed has a latency factor of 1.
 constexpr double GoodEnoughLatencyFactor = 1.3;
@@ -121,7 +122,9 @@
     const double Cost =
         cachedLatencyFactor(Candidate) *
         probeLocalityFactor(Candidate, Factors) *
-        (Candidate.HasIdleConnection ? 1 : NewConnectionProbeFactor) *
+        (Candidate.HasIdleConnection || Candidate.HasJoinedLately
+             ? 1
+             : NewConnectionProbeFactor) *
         JitterFactor(Generator);
     Ranking.push_back({{Candidate.IsSuspect, Cost}, Index});
   }
--- a/Libraries/LibGateway/TargetSelection.h
+++ b/Libraries/LibGateway/TargetSelection.h
@@ -48,6 +48,9 @@
   std::uint64_t StartedAtMilliseconds = 0;
   /// This host has an idle connection to the target.
   bool HasIdleConnection = true;
+  /// The target has registered only lately, after this host had learned of the
+  /// others.
+  bool HasJoinedLately = false;
 };
 
 /// A candidate with the result of its probe.
--- a/Services/Gateway/GatewayState.cpp
+++ b/Services/Gateway/GatewayState.cpp
@@ -27,6 +27,12 @@
 // A target that was idle for this long after its pause needs no gradual
 // resumption.
 constexpr Duration ResumptionTime = std::chrono::seconds(30);
+// Time for which a target counts as having joined lately. Hosts use it as often
+// as the others in that time, and then have connections to it.
+constexpr Duration JoiningTime = std::chrono::seconds(10);
+// Targets that are listed within this time after the first ones of their
+// service were registered before, and the host only learns of them.
+constexpr Duration LearningTime = std::chrono::seconds(3);
 // Other hosts are told again only of a cold time that differs by more, because
 // each probe of a cold target yields one.
 constexpr Duration ColdTimeTolerance = std::chrono::milliseconds(500);
@@ -242,6 +248,11 @@
   std::vector<double> Preferences;
   std::size_t RemoteCount = 0;
   const double ColdRate = coldRate(Service);
+  std::optional<TimePoint> &FirstListing =
+      StatsByService[Service].FirstListedAt;
+  if (!FirstListing)
+    FirstListing = Now;
+  const TimePoint ServiceListedAt = *FirstListing;
   auto Paused = Pauses.begin();
   for (const auto &[Id, Known] : Directory.Targets) {
     const TargetRegistration &Registered = Known.Registration;
@@ -274,6 +285,11 @@
       if (!Verdict.IsAdmitted)
         continue;
     }
+    if (!Stats.FirstListedAt)
+      Stats.FirstListedAt = Now;
+    const bool HasJoinedLately =
+        *Stats.FirstListedAt - ServiceListedAt > LearningTime &&
+        Now - *Stats.FirstListedAt < JoiningTime;
     endEjection(Stats.Outlier, Now);
     if (!Stats.Preference)
       Stats.Preference = UnitInterval(Generator);
@@ -283,7 +299,8 @@
     Found.push_back({Id, IsInLocalDomain, true, Now < Known.ColdUntil,
                      Stats.Outlier.Ejected || Known.GraceEndsAt.has_value(),
                      isOnProbation(Stats.Outlier, Now), Stats.Load,
-                     Now - Stats.LoadObservedAt, Stats.InFlight, Started});
+                     Now - Stats.LoadObservedAt, Stats.InFlight, Started, true,
+                     HasJoinedLately});
   }
   const auto LocalCount = static_cast<double>(Found.size() - RemoteCount);
   for (std::size_t Index = 0; Index < Found.size(); ++Index)
--- a/Services/Gateway/GatewayState.h
+++ b/Services/Gateway/GatewayState.h
@@ -78,6 +78,8 @@
   std::optional<double> Preference;
   /// Outcomes of own attempts that are not yet shared with the other hosts.
   AttemptCounts Unshared;
+  /// Time at which this host first listed the target as a candidate.
+  std::optional<TimePoint> FirstListedAt;
   /// Requests of this host in flight at the target.
   std::uint32_t InFlight = 0;
   std::optional<LoadReport> Load;
@@ -88,6 +90,8 @@
 
 /// Statistics of one service on this host.
 struct ServiceStats {
+  /// Time at which this host first listed the targets of the service.
+  std::optional<TimePoint> FirstListedAt;
   RetryBudget RetryCounts;
   WorkTimes Times;
   ReturnSchedule Returns;
--- a/Tests/Gateway/TestGatewayState.cpp
+++ b/Tests/Gateway/TestGatewayState.cpp
@@ -90,6 +90,30 @@
   EXPECT_EQ(CurrentState.compressedConfiguration(), "six");
 }
 
+// Guards against targets that join a running fleet and get nothing, because all
+// hosts have connections to the others, and against hosts that take all targets
+// for new ones after their start.
+TEST_F(GatewayStateTest, TargetsThatJoinAreMarkedForAWhile) {
+  const auto HasJoined = [&](const std::string &Id) {
+    for (const TargetCandidate &Listed : listed().Targets)
+      if (Listed.Id.Value == Id)
+        return Listed.HasJoinedLately;
+    ADD_FAILURE() << Id << " is not listed";
+    return false;
+  };
+  CurrentState.applyTargetChange({TargetId("a"), target("a"), {1}}, "test");
+  EXPECT_FALSE(HasJoined("a"));
+  TimeSource.advance(1s);
+  CurrentState.applyTargetChange({TargetId("b"), target("b"), {2}}, "test");
+  EXPECT_FALSE(HasJoined("b"));
+  TimeSource.advance(60s);
+  CurrentState.applyTargetChange({TargetId("c"), target("c"), {3}}, "test");
+  EXPECT_TRUE(HasJoined("c"));
+  EXPECT_FALSE(HasJoined("a"));
+  TimeSource.advance(11s);
+  EXPECT_FALSE(HasJoined("c"));
+}
+
 // Guards against new requests to draining targets.
 TEST_F(GatewayStateTest, DrainingTargetsAreNoCandidates) {
   TargetRegistration Leaving = target("b");
--- a/Tests/LibGateway/TestTargetSelection.cpp
+++ b/Tests/LibGateway/TestTargetSelection.cpp
@@ -78,6 +78,24 @@
   EXPECT_GT(NewConnections(load(2, 2, 2)), 240U);
 }
 
+// Guards against targets that join a calm fleet and are never probed.
+TEST(TargetSelection, TargetsThatHaveJoinedLatelyAreProbed) {
+  Random Generator(5);
+  std::vector<TargetCandidate> Candidates;
+  for (int Index = 0; Index < 10; ++Index) {
+    Candidates.push_back(candidate("t" + std::to_string(Index)));
+    Candidates.back().HasIdleConnection = Index < 5;
+    Candidates.back().HasJoinedLately = Index >= 5;
+  }
+  std::size_t Joined = 0;
+  for (int Round = 0; Round < 100; ++Round)
+    for (const TargetCandidate &Selected :
+         selectProbeCandidates(Candidates, 2, Generator))
+      Joined += Selected.HasJoinedLately ? 1 : 0;
+  EXPECT_GT(Joined, 70U);
+  EXPECT_LT(Joined, 130U);
+}
+
 // Guards against a factor that is ignored: a request that is to leave its
 // failure domain would stay, and one that is to stay would leave.
 TEST(TargetSelection, FactorsOfTheCallerReplaceTheDefaults) {
