--- a/Services/Gateway/AllotmentExchange.cpp
+++ b/Services/Gateway/AllotmentExchange.cpp
@@ -83,17 +83,6 @@
   }
 }
 
-std::optional<Duration>
-AllotmentExchange::knownRefusal(const AccountName &Account) const {
-  const auto Known = State.Leases.find(Account);
-  const TimePoint Now = Dependencies.TimeSource.now();
-  if (Known == State.Leases.end() || Known->second.RefusedUntil <= Now ||
-      heldTokens(Known->second) > 0)
-    return std::nullopt;
-  ++Dependencies.ProcessMetrics.counter("token_refusals_total");
-  return Known->second.RefusedUntil - Now;
-}
-
 void AllotmentExchange::giveBack(const AccountName &Account) {
   returnToken(State, Account, Dependencies.TimeSource.now());
 }
--- a/Services/Gateway/AllotmentExchange.h
+++ b/Services/Gateway/AllotmentExchange.h
@@ -27,10 +27,6 @@
   /// Takes at most about 90 ms.
   Awaitable<std::optional<Duration>> acquire(const ClientAccount &Holder);
 
-  /// Returns the time for which the account will get no token, if an owner has
-  /// said so.
-  std::optional<Duration> knownRefusal(const AccountName &Account) const;
-
   /// Returns the token of a request that was then rejected for another reason
   /// and has not run.
   void giveBack(const AccountName &Account);
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -151,10 +151,6 @@
                                     Quotas.get()](const ClientAccount &Holder) {
     return Quotas->acquire(Holder);
   };
-  Dependencies->KnownRefusal = [Quotas =
-                                    Quotas.get()](const AccountName &Account) {
-    return Quotas->knownRefusal(Account);
-  };
   Dependencies->ReturnToken = [Quotas =
                                    Quotas.get()](const AccountName &Account) {
     Quotas->giveBack(Account);
--- a/Services/Gateway/GatewayDependencies.h
+++ b/Services/Gateway/GatewayDependencies.h
@@ -45,9 +45,6 @@
   /// allotments are enforced.
   std::function<Awaitable<std::optional<Duration>>(const ClientAccount &)>
       AcquireToken = {};
-  /// Returns the time for which the account is known to get no token, without
-  /// asking another host.
-  std::function<std::optional<Duration>(const AccountName &)> KnownRefusal = {};
   /// Returns the token of a request that was refused for another reason.
   std::function<void(const AccountName &)> ReturnToken = {};
 };
--- a/Services/Gateway/RequestExecution.cpp
+++ b/Services/Gateway/RequestExecution.cpp
@@ -51,7 +51,7 @@
       Metadata(platform::decodeRequestMetadata(this->Request)),
       IdDigest(std::hash<std::string>{}(Metadata.Id.Value)),
       ReceivedAt(Dependencies.TimeSource.now()),
-      TokenSignal(Dependencies.Context), SelectionTimer(Dependencies.Context),
+      SelectionTimer(Dependencies.Context),
       HeldAnswer(&Dependencies.Messages, MessageKind::Response) {}
 
 void RequestExecution::cancel() {
@@ -71,7 +71,7 @@
       findRoute(*CurrentConfiguration, Metadata.Host, Metadata.Path);
   if (SelectedRoute == nullptr)
     co_return refuse(http::status::not_found, "no_route", std::nullopt);
-  if (auto Rejection = authorizeCaller())
+  if (auto Rejection = co_await authorizeCaller())
     co_return std::move(*Rejection);
   const ServiceName *Picked =
       chooseService(*SelectedRoute, Dependencies.Generator);
@@ -93,62 +93,25 @@
   co_return co_await execute(*SelectedRoute);
 }
 
-std::optional<HttpResponse> RequestExecution::authorizeCaller() {
+Awaitable<std::optional<HttpResponse>> RequestExecution::authorizeCaller() {
   const Authorization Checked =
       authorize(*CurrentConfiguration, *SelectedRoute, Metadata.AccessKey);
   Metadata.AccessKey.clear();
   if (Checked.Verdict != AuthorizationVerdict::Allowed)
-    return refuse(http::status::unauthorized,
-                  Checked.Verdict == AuthorizationVerdict::MissingKey
-                      ? "missing_key"
-                      : "unknown_key",
-                  std::nullopt);
+    co_return refuse(http::status::unauthorized,
+                     Checked.Verdict == AuthorizationVerdict::MissingKey
+                         ? "missing_key"
+                         : "unknown_key",
+                     std::nullopt);
   Account = Checked.Account;
   if (Account == nullptr || Account->Rate <= 0 || !Dependencies.AcquireToken)
-    return std::nullopt;
-  if (const auto Refused = Dependencies.KnownRefusal
-                               ? Dependencies.KnownRefusal(Account->Name)
-                               : std::nullopt) {
-    UntilToken = *Refused;
-    return refuseWithoutToken();
-  }
-  Token = TokenState::Pending;
-  TokenSignal.expires_at(TimePoint::max());
-  asio::co_spawn(Dependencies.Context, acquireToken(), asio::detached);
-  return std::nullopt;
-}
-
-// Runs beside the selection of a target: on small hosts the owner's response
-// takes as long as the probes, and both in a row made requests late.
-Awaitable<void> RequestExecution::acquireToken() {
-  const auto Self = shared_from_this();
-  const auto Refused = co_await Dependencies.AcquireToken(*Account);
-  if (Token == TokenState::Returned) {
-    if (!Refused)
-      Dependencies.ReturnToken(Account->Name);
-    co_return;
-  }
-  Token = Refused ? TokenState::Refused : TokenState::Held;
-  UntilToken = Refused.value_or(Duration::zero());
-  TokenSignal.cancel();
-}
-
-Awaitable<bool> RequestExecution::awaitToken() {
-  if (Token == TokenState::Pending)
-    co_await TokenSignal.async_wait(UseTuple);
-  co_return Token != TokenState::Refused;
-}
-
-void RequestExecution::returnToken() {
-  if (Token == TokenState::Held)
-    Dependencies.ReturnToken(Account->Name);
-  if (Token != TokenState::NotNeeded)
-    Token = TokenState::Returned;
-}
-
-HttpResponse RequestExecution::refuseWithoutToken() {
-  return refuse(http::status::too_many_requests, "allotment_used_up",
-                UntilToken);
+    co_return std::nullopt;
+  const auto UntilToken = co_await Dependencies.AcquireToken(*Account);
+  if (UntilToken)
+    co_return refuse(http::status::too_many_requests, "allotment_used_up",
+                     *UntilToken);
+  HoldsToken = true;
+  co_return std::nullopt;
 }
 
 Awaitable<HttpResponse> RequestExecution::execute(const Route &Matched) {
@@ -162,10 +125,6 @@
     auto Target = co_await findTarget();
     if (!Target)
       break;
-    if (!co_await awaitToken()) {
-      Prober.release(std::move(*Target));
-      co_return refuseWithoutToken();
-    }
     // The target may have said since its selection that it leaves or pauses.
     const TargetProcess Process = processOf(Target->Candidate.Target);
     const bool IsUsable = Dependencies.CurrentState.admitsAttempt(Process) &&
@@ -249,7 +208,8 @@
 // one has tried. It must wait for a pause only if all targets are paused,
 // whatever has ended this request.
 HttpResponse RequestExecution::refuseNotRun() {
-  returnToken();
+  if (HoldsToken && Dependencies.ReturnToken)
+    Dependencies.ReturnToken(Account->Name);
   if (Dependencies.Domains != nullptr && Refusal == RefusalCause::Overloaded)
     Dependencies.Domains->recordRefusal(Service, DomainChoice);
   if (QuarantineLeft)
--- a/Services/Gateway/RequestExecution.h
+++ b/Services/Gateway/RequestExecution.h
@@ -39,15 +39,9 @@
   };
 
   Awaitable<HttpResponse> execute(const Route &Matched);
-  /// Checks the caller's key and begins to take a token from the allotment of
-  /// its account. Returns a response if the request must not run.
-  std::optional<HttpResponse> authorizeCaller();
-  Awaitable<void> acquireToken();
-  /// Waits for the token. Returns false if the request gets none.
-  Awaitable<bool> awaitToken();
-  /// Gives the token back, also one that is still being taken.
-  void returnToken();
-  HttpResponse refuseWithoutToken();
+  /// Checks the caller's key and takes a token from the allotment of its
+  /// account. Returns a response if the request must not run.
+  Awaitable<std::optional<HttpResponse>> authorizeCaller();
   /// Returns true if the request may have another attempt. Every attempt but
   /// the first takes from the retry budget.
   bool mayBeginAttempt();
@@ -116,12 +110,7 @@
   const Route *SelectedRoute = nullptr;
   /// The account of the caller, owned by the configuration.
   const ClientAccount *Account = nullptr;
-  enum class TokenState { NotNeeded, Pending, Held, Refused, Returned };
-  TokenState Token = TokenState::NotNeeded;
-  /// Time after which there will be a token, if there is none.
-  Duration UntilToken{0};
-  /// Cancelled when the token is no longer pending.
-  Timer TokenSignal;
+  bool HoldsToken = false;
   ServiceName Service;
   /// Which failure domains the request may use.
   RequestChoice DomainChoice;
