LibGateway: Hash the keys of accounts without a detour over text

Cause: one half of the digest of a key was formatted as hexadecimal digits and parsed again, on the path of each request that carries a key. Change: both halves are hashes of the key with different prefixes. The digests are never stored or sent, so their values may change. Tested: TestLibGateway and TestPlatform.

--- a/Libraries/LibGateway/AccountKeys.cpp
+++ b/Libraries/LibGateway/AccountKeys.cpp
@@ -5,15 +5,16 @@
 
 namespace {
 
-constexpr std::string_view DigestSecret = "client account key";
+// Two prefixes, so that the halves of a digest are independent hashes.
+constexpr std::string_view HighPrefix = "account-key-high";
+constexpr std::string_view LowPrefix = "account-key-low";
 
 } // namespace
 
 // The time of a lookup depends on the digest of the key, from which nothing
 // about the stored keys can be learned.
 KeyDigest digestKey(std::string_view Key) {
-  return {parseHexadecimal(messageTag(DigestSecret, Key)).value_or(0),
-          stableHash({DigestSecret, Key})};
+  return {stableHash({HighPrefix, Key}), stableHash({LowPrefix, Key})};
 }
 
 bool addKey(AccountKeys &Keys, std::string_view Key, std::size_t Account) {
