Gateway: Name the account of a request in one place

Cause: three places asked for the name of the account, which may be absent, each in its own words, and two of them built the whole entry of the waiting order for it, once for each selection round and each attempt. Change: accountName(). No behaviour changes. Tested: TestGateway, RequestExecutionTest.* and Allotment*.

--- a/Services/Gateway/RequestExecution.cpp
+++ b/Services/Gateway/RequestExecution.cpp
@@ -379,12 +379,15 @@
   co_return std::nullopt;
 }
 
+AccountName RequestExecution::accountName() const {
+  return Account == nullptr ? AccountName() : Account->Name;
+}
+
 SearchingRequest RequestExecution::searchingRequest() {
   SearchingRequest Made;
   Made.Priority = effectivePriority(*SelectedRoute, Account);
   Made.RoutePriority = SelectedRoute->Priority;
-  if (Account != nullptr)
-    Made.Account = Account->Name;
+  Made.Account = accountName();
   Made.ArrivedAt = ReceivedAt;
   Made.ObjectiveAt = ReceivedAt + SelectedRoute->LatencyObjective;
   Made.Deadline = Deadline;
@@ -474,10 +477,9 @@
   Input.Waited = Now - ReceivedAt;
   Input.LatencyObjective = SelectedRoute->LatencyObjective;
   Input.TimeLeft = Deadline - Now;
-  const SearchingRequest Ranked = searchingRequest();
   Input.Priority =
       searchPriority(*Dependencies.CurrentState.serviceStats(Service).Waiting,
-                     Ranked.Account, Ranked.Priority);
+                     accountName(), effectivePriority(*SelectedRoute, Account));
   return decideAdmission(Input);
 }
 
@@ -494,7 +496,7 @@
   ActiveConnection = std::move(Target.Connection);
   Dependencies.CurrentState.beginAttempt(Process);
   recordReceived(*Dependencies.CurrentState.serviceStats(Service).Waiting,
-                 searchingRequest().Account, workTime(), Begin);
+                 accountName(), workTime(), Begin);
   ActiveConnection->recordCarried(IdDigest);
   const auto RecordSignals = [&](const HttpResponse &Response) {
     Dependencies.CurrentState.recordSignals(
@@ -504,7 +506,7 @@
   // The body is lent to the attempt, because it may be large.
   std::optional<AccountName> ForwardedAccount;
   if (CurrentConfiguration->Accounts)
-    ForwardedAccount = Account == nullptr ? AccountName() : Account->Name;
+    ForwardedAccount = accountName();
   HttpRequest Sent =
       platform::encodeAttempt(Request, std::move(Request.body()), Id,
                               Deadline - Begin, ForwardedAccount);
@@ -624,9 +626,7 @@
       .field("route", SelectedRoute == nullptr
                           ? std::string_view("")
                           : std::string_view(SelectedRoute->Name))
-      .field("account", Account == nullptr
-                            ? std::string_view("")
-                            : std::string_view(Account->Name.Value))
+      .field("account", accountName().Value)
       .field("configuration",
              CurrentConfiguration ? CurrentConfiguration->Version.Value : 0)
       .field("status", std::uint64_t{Status})
--- a/Services/Gateway/RequestExecution.h
+++ b/Services/Gateway/RequestExecution.h
@@ -49,6 +49,8 @@
   /// refused.
   Awaitable<std::optional<ConnectedTarget>> findTarget();
   SearchingRequest searchingRequest();
+  /// Name of the caller's account; empty without one.
+  AccountName accountName() const;
   /// Waits until the request may take part in a selection round. Returns false
   /// when it is not to search any more.
   Awaitable<bool> waitForTurn(PlaceInOrder &Place);
