Tests/Gateway: Send requests with a key through the fixture

Cause: two tests built and started a request with a key in the same lines, and the fixture started its own in the same way. Change: sendWithKey() and start() in the fixture; the assertions are the same. The second test now sends forged names of accounts, too. Tested: RequestExecutionTest.*.

--- a/Tests/Gateway/TestRequestExecution.cpp
+++ b/Tests/Gateway/TestRequestExecution.cpp
@@ -229,13 +229,33 @@
                                           const std::string &Id = "r-1",
                                           std::string Body = {}) {
     auto Execution = make(Path, Id, std::move(Body));
+    start(Execution);
+    return Execution;
+  }
+
+  void start(const std::shared_ptr<RequestExecution> &Execution) {
     asio::co_spawn(
         Loop,
         [this, Execution]() -> Awaitable<void> {
           Answer = co_await Execution->run();
         },
         asio::detached);
-    return Execution;
+  }
+
+  /// Sends a request with the key of an account, unless it is empty, and with
+  /// forged names of accounts.
+  HttpResponse sendWithKey(const std::string &Key) {
+    HttpRequest Request(http::verb::get, "/x/1", 11);
+    Request.set(http::field::host, "a.example");
+    Request.set("Request-Id", "r-1");
+    Request.insert("Tenant", "forged");
+    Request.insert("Tenant", "twice");
+    if (!Key.empty())
+      Request.set("X-Api-Key", Key);
+    Answer.reset();
+    start(std::make_shared<RequestExecution>(Dependencies, Prober, *Quarantine,
+                                             std::move(Request), "192.0.2.1"));
+    return finish();
   }
 
   HttpResponse finish() {
@@ -314,23 +334,7 @@
         co_return signedAnswer(Request, "whole");
       });
   const auto Send = [&](const std::string &Key) {
-    HttpRequest Request(http::verb::get, "/x/1", 11);
-    Request.set(http::field::host, "a.example");
-    Request.set("Request-Id", "r-1");
-    Request.insert("Tenant", "forged");
-    Request.insert("Tenant", "twice");
-    if (!Key.empty())
-      Request.set("X-Api-Key", Key);
-    Answer.reset();
-    const auto Execution = std::make_shared<RequestExecution>(
-        Dependencies, Prober, *Quarantine, std::move(Request), "192.0.2.1");
-    asio::co_spawn(
-        Loop,
-        [this, Execution]() -> Awaitable<void> {
-          Answer = co_await Execution->run();
-        },
-        asio::detached);
-    return finish().result();
+    return sendWithKey(Key).result();
   };
   EXPECT_EQ(Send(""), http::status::unauthorized);
   EXPECT_EQ(Send("key-of-nobody"), http::status::unauthorized);
@@ -367,22 +371,7 @@
     co_return std::nullopt;
   };
   Dependencies.ReturnToken = [&](const AccountName &) { ++Tokens; };
-  const auto Send = [&] {
-    Answer.reset();
-    HttpRequest Request(http::verb::get, "/x/1", 11);
-    Request.set(http::field::host, "a.example");
-    Request.set("Request-Id", "r-1");
-    Request.set("X-Api-Key", "key-of-alder");
-    const auto Execution = std::make_shared<RequestExecution>(
-        Dependencies, Prober, *Quarantine, std::move(Request), "192.0.2.1");
-    asio::co_spawn(
-        Loop,
-        [this, Execution]() -> Awaitable<void> {
-          Answer = co_await Execution->run();
-        },
-        asio::detached);
-    return finish();
-  };
+  const auto Send = [&] { return sendWithKey("key-of-alder"); };
   EXPECT_EQ(Send().result(), http::status::service_unavailable);
   EXPECT_EQ(Tokens, 1);
   FakeTarget &Only = addTarget(answerWhole);
