LibCore: Share the mixing step of rendezvous ranks

Cause: LibAccount and LibPlaces each had their own copy of the last step of SplitMix64, one of them without a name for what it is. Change: mixBits() in LibCore/Hash.h; both rank hosts by the same numbers as before, so hosts of both builds agree. Tested: TestLibAccount and TestLibPlaces, properties included.

--- a/Libraries/LibAccount/OwnerChoice.cpp
+++ b/Libraries/LibAccount/OwnerChoice.cpp
@@ -8,13 +8,11 @@
 
 namespace {
 
-// Finalizer of SplitMix64. A digest for each pair of host and account would
-// cost a small host with hundreds of peers too much processor time.
-std::uint64_t mix(std::uint64_t Value) {
-  Value += 0x9e3779b97f4a7c15ULL;
-  Value = (Value ^ (Value >> 30U)) * 0xbf58476d1ce4e5b9ULL;
-  Value = (Value ^ (Value >> 27U)) * 0x94d049bb133111ebULL;
-  return Value ^ (Value >> 31U);
+// A digest for each pair of host and account would cost a small host with
+// hundreds of peers too much processor time.
+std::uint64_t rankOf(std::uint64_t HostHash, std::uint64_t AccountHash) {
+  constexpr std::uint64_t Increment = 0x9E3779B97F4A7C15U;
+  return mixBits((HostHash ^ AccountHash) + Increment);
 }
 
 bool isSkipped(const SkippedOwners &Skipped, const HostId &Host,
@@ -36,7 +34,7 @@
   const OwnerCandidate *Chosen = nullptr;
   std::uint64_t Highest = 0;
   for (const OwnerCandidate &Candidate : View.Candidates) {
-    const std::uint64_t Rank = mix(Candidate.Hash ^ AccountHash);
+    const std::uint64_t Rank = rankOf(Candidate.Hash, AccountHash);
     if (Chosen && Rank <= Highest)
       continue;
     if (!Skipped.empty() && isSkipped(Skipped, Candidate.Host, Now))
@@ -54,11 +52,11 @@
       [&](const OwnerCandidate &Known) { return Known.Host == View.Self; });
   if (Self == View.Candidates.end())
     return View.Candidates.size();
-  const std::uint64_t OwnRank = mix(Self->Hash ^ AccountHash);
+  const std::uint64_t OwnRank = rankOf(Self->Hash, AccountHash);
   return static_cast<std::size_t>(
       std::count_if(View.Candidates.begin(), View.Candidates.end(),
                     [&](const OwnerCandidate &Other) {
-                      return mix(Other.Hash ^ AccountHash) > OwnRank;
+                      return rankOf(Other.Hash, AccountHash) > OwnRank;
                     }));
 }
 
--- a/Libraries/LibCore/Hash.h
+++ b/Libraries/LibCore/Hash.h
@@ -13,6 +13,15 @@
 /// versions.
 std::uint64_t stableHash(std::initializer_list<std::string_view> Parts);
 
+/// Spreads the bits of a number over all of its bits, as the last step of
+/// SplitMix64 does. Cheap enough to rank hundreds of hosts for one decision;
+/// not for input that somebody may choose to collide.
+constexpr std::uint64_t mixBits(std::uint64_t Value) {
+  Value = (Value ^ (Value >> 30U)) * 0xBF58476D1CE4E5B9U;
+  Value = (Value ^ (Value >> 27U)) * 0x94D049BB133111EBU;
+  return Value ^ (Value >> 31U);
+}
+
 /// Returns the first 64 bits of an HMAC-SHA-256 as 16 hexadecimal digits.
 std::string messageTag(std::string_view Secret, std::string_view Message);
 
--- a/Libraries/LibPlaces/ColdShare.cpp
+++ b/Libraries/LibPlaces/ColdShare.cpp
@@ -1,3 +1,4 @@
+#include <LibCore/Hash.h>
 #include <LibPlaces/ColdShare.h>
 
 #include <algorithm>
@@ -21,14 +22,6 @@
 constexpr double RateMinimum = 0.01;
 constexpr double RateMaximum = 1e5;
 
-constexpr std::uint64_t mix(std::uint64_t Value) {
-  Value ^= Value >> 30;
-  Value *= 0xBF58476D1CE4E5B9U;
-  Value ^= Value >> 27;
-  Value *= 0x94D049BB133111EBU;
-  return Value ^ (Value >> 31);
-}
-
 // All hosts must agree on the hash, and a hundred of them are ranked for each
 // cold target, so it must be cheap. Nothing depends on its strength.
 std::uint64_t textHash(std::string_view Text) {
@@ -37,12 +30,12 @@
     Hash ^= static_cast<unsigned char>(Character);
     Hash *= 0x100000001B3U;
   }
-  return mix(Hash);
+  return mixBits(Hash);
 }
 
 std::uint64_t rankOf(const HostId &Host, const TargetId &Target) {
-  return mix(textHash(Host.Value) +
-             0x9E3779B97F4A7C15U * (textHash(Target.Value) | 1U));
+  return mixBits(textHash(Host.Value) +
+                 0x9E3779B97F4A7C15U * (textHash(Target.Value) | 1U));
 }
 
 } // namespace
