Tests/LibAccount: Set up the plays over many hosts in one place

Cause: two tests filled in the same play and computed the same figure in the same lines. Change: manyHosts() and requestsForTokensPerSecond(); the bounds are the same. Tested: TestLibAccount.

--- a/Tests/LibAccount/TestQuotaFleet.cpp
+++ b/Tests/LibAccount/TestQuotaFleet.cpp
@@ -446,42 +446,41 @@
   RC_ASSERT(Fleet.longestWait() <= TokenWaitMaximum + 10ms);
 }
 
-// Guards against batches that are too small for an account of which each of
-// many hosts gets few requests.
-TEST(QuotaFleetTest, LargeAccountOverManyHostsTakesBatches) {
+/// An account of 121 hosts that is sent Load times its rate for ten seconds.
+Play manyHosts(double Rate, double Burst, double Load) {
   Play Drawn;
   Drawn.Seed = 20261206;
   Drawn.Hosts = 121;
-  Drawn.Rate = 1000;
-  Drawn.Burst = 500;
-  Drawn.Loads.push_back({0ms, 0.95});
+  Drawn.Rate = Rate;
+  Drawn.Burst = Burst;
+  Drawn.Loads.push_back({0ms, Load});
   Drawn.Time = 10s;
-  QuotaFleet Fleet(Drawn);
+  return Drawn;
+}
+
+double requestsForTokensPerSecond(const QuotaFleet &Fleet) {
+  const double PerSecond = Fleet.messages() / 2.0 / 10;
+  testing::Test::RecordProperty("token_requests_per_second",
+                                static_cast<int>(PerSecond));
+  return PerSecond;
+}
+
+// Guards against batches that are too small for an account of which each of
+// many hosts gets few requests.
+TEST(QuotaFleetTest, LargeAccountOverManyHostsTakesBatches) {
+  QuotaFleet Fleet(manyHosts(1000, 500, 0.95));
   Fleet.run();
   EXPECT_GE(Fleet.servedShare(), 0.98);
-  const double RequestsPerSecond = Fleet.messages() / 2.0 / 10;
-  RecordProperty("token_requests_per_second",
-                 static_cast<int>(RequestsPerSecond));
-  EXPECT_LE(RequestsPerSecond, 700);
+  EXPECT_LE(requestsForTokensPerSecond(Fleet), 700);
 }
 
 // Guards against an owner that refused hosts overload while an account sends
 // five times its rate.
 TEST(QuotaFleetTest, SurgeDoesNotLoadTheOwner) {
-  Play Drawn;
-  Drawn.Seed = 20261206;
-  Drawn.Hosts = 121;
-  Drawn.Rate = 200;
-  Drawn.Burst = 200;
-  Drawn.Loads.push_back({0ms, 5});
-  Drawn.Time = 10s;
-  QuotaFleet Fleet(Drawn);
+  QuotaFleet Fleet(manyHosts(200, 200, 5));
   Fleet.run();
   EXPECT_LE(Fleet.excess(), 0);
-  const double RequestsPerSecond = Fleet.messages() / 2.0 / 10;
-  RecordProperty("token_requests_per_second",
-                 static_cast<int>(RequestsPerSecond));
-  EXPECT_LE(RequestsPerSecond, 450);
+  EXPECT_LE(requestsForTokensPerSecond(Fleet), 450);
   EXPECT_GE(Fleet.servedShare(), 0.95);
 }
 
