LibAccount: Wait for a slow owner before requests are rejected

What callers saw: 429 although their account was within its quota, whenever the host that owns the account was out of processor time for more than 40 ms.

Cause: the next host in the order was asked, whose bucket is empty or holds few tokens, and its refusal was final for all requests of the account on the asking host, for up to 2 s, even after the owner's response had arrived with tokens.

Change: a refusal while the owner may still respond is not final: the request waits for the late response, up to 120 ms in all (80 ms before). A grant ends an earlier refusal, and a refusal by another host ends when the owner is no longer skipped. Owners are skipped after 40 ms as before, so that other requests do not wait for a host that is gone.

Tested: TestLibAccount. SlowOwnersCostFewRequests and RefusalInPlaceOfASlowOwnerIsNotFinal fail without the change. The property of the quota now also draws receivers that stand still.

--- a/Libraries/LibAccount/Allotments.cpp
+++ b/Libraries/LibAccount/Allotments.cpp
@@ -135,9 +135,11 @@
   return Lease;
 }
 
-TokenDecision decide(Allotments &State, TokenLease &Lease,
-                     const ClientAccount &Holder, TimePoint GiveUpAt,
-                     Random &Generator, TimePoint Now) {
+namespace {
+
+TokenDecision decideAtOnce(Allotments &State, TokenLease &Lease,
+                           const ClientAccount &Holder, TimePoint GiveUpAt,
+                           Random &Generator, TimePoint Now) {
   if (takeToken(Lease, Now))
     return {TokenStep::Taken, TokenSource::Lease, {}, {}};
   if (Now < Lease.RefusedUntil)
@@ -169,6 +171,33 @@
   return {TokenStep::Ask, {}, {}, *Owner};
 }
 
+bool mayStillRespond(const TokenLease &Lease, TimePoint GiveUpAt,
+                     TimePoint Now) {
+  return Lease.Late && Now < Lease.Late->SentAt + TokenWaitMaximum &&
+         Lease.Late->SentAt + TokenWaitMaximum <= GiveUpAt + TimerDelay;
+}
+
+} // namespace
+
+// The hosts that are asked in place of a slow owner have few tokens or none, so
+// their refusal does not show that the account has used up its quota.
+TokenDecision decide(Allotments &State, TokenLease &Lease,
+                     const ClientAccount &Holder, TimePoint GiveUpAt,
+                     Random &Generator, TimePoint Now) {
+  const TokenDecision Decision =
+      decideAtOnce(State, Lease, Holder, GiveUpAt, Generator, Now);
+  if (Decision.Step == TokenStep::Refused &&
+      mayStillRespond(Lease, GiveUpAt, Now))
+    return {TokenStep::Await, {}, {}, {}};
+  return Decision;
+}
+
+TimePoint awaitsUntil(const TokenLease &Lease) {
+  if (Lease.Pending)
+    return Lease.Pending->SentAt + OwnerTimeout;
+  return Lease.Late ? Lease.Late->SentAt + TokenWaitMaximum : TimePoint::min();
+}
+
 std::optional<OwnerCandidate> chooseEarlyRenewal(const Allotments &State,
                                                  const TokenLease &Lease,
                                                  const AccountName &Account,
@@ -194,16 +223,25 @@
                 const OwnerResponse &Response, TimePoint Now) {
   if (Lease.Pending && Lease.Pending->Number == Request.Number)
     Lease.Pending.reset();
+  if (Lease.Late && Lease.Late->Number == Request.Number)
+    Lease.Late.reset();
   // The response has spent a pause of this host in its buffers.
   if (Now - Request.SentAt > TokenLifetime)
     return;
   State.Skipped.erase(Request.Owner);
-  if (Response.Granted > 0)
+  if (Response.Granted > 0) {
     addTokens(Lease, Response.Granted, Response.Lifetime, Request.SentAt, Now);
-  else if (Response.RetryAfter)
+    // A host that was asked in place of this one may have refused tokens.
+    Lease.RefusedUntil = Now;
+  } else if (Response.RetryAfter) {
     Lease.RefusedUntil = Now + std::clamp(*Response.RetryAfter,
                                           Duration::zero(), RefusalMaximum);
-  else
+    // The owner is asked again when it is no longer skipped.
+    if (Lease.Late)
+      Lease.RefusedUntil =
+          std::min(Lease.RefusedUntil,
+                   std::max(Now, Lease.Late->SentAt + OwnerTimeout + SkipTime));
+  } else
     Lease.UnownedUntil = Now + UnownedTime;
 }
 
@@ -221,6 +259,8 @@
   if (!Lease.Pending || Now < Lease.Pending->SentAt + OwnerTimeout)
     return std::nullopt;
   const HostId Owner = Lease.Pending->Owner;
+  if (!Lease.Late || Now >= Lease.Late->SentAt + TokenWaitMaximum)
+    Lease.Late = Lease.Pending;
   onFailure(State, Lease, Lease.Pending->Number, Now);
   return Owner;
 }
--- a/Libraries/LibAccount/Allotments.h
+++ b/Libraries/LibAccount/Allotments.h
@@ -13,9 +13,10 @@
 
 /// Time after which an owner counts as not responding.
 inline constexpr Duration OwnerTimeout = std::chrono::milliseconds(40);
-/// Time that a request may wait for a token: for two owners one after the
-/// other, give or take the delay of a timer.
-inline constexpr Duration TokenWaitMaximum = std::chrono::milliseconds(80);
+/// Time that a request may wait for a token, give or take the delay of a timer.
+/// A host of 0.1 cores that has used up its share of a scheduling period of
+/// 100 ms responds up to 90 ms late.
+inline constexpr Duration TokenWaitMaximum = std::chrono::milliseconds(120);
 
 /// What one host knows of the allotments of accounts, as their owner and as a
 /// host that needs tokens.
@@ -75,6 +76,10 @@
                      const ClientAccount &Holder, TimePoint GiveUpAt,
                      Random &Generator, TimePoint Now);
 
+/// Returns the time until which callers wait for the response to a request that
+/// was sent.
+TimePoint awaitsUntil(const TokenLease &Lease);
+
 /// Returns the owner to ask for tokens in advance, if the host should do so.
 std::optional<OwnerCandidate> chooseEarlyRenewal(const Allotments &State,
                                                  const TokenLease &Lease,
--- a/Libraries/LibAccount/TokenLease.h
+++ b/Libraries/LibAccount/TokenLease.h
@@ -65,6 +65,8 @@
   /// The owner does not know the account before this time.
   TimePoint UnownedUntil;
   std::optional<PendingTokenRequest> Pending;
+  /// Request whose owner has not responded in time, but still may.
+  std::optional<PendingTokenRequest> Late;
   /// Callers that wait for a token.
   std::int32_t Waiting = 0;
   FallbackShare Fallback;
--- a/Services/Gateway/AllotmentExchange.cpp
+++ b/Services/Gateway/AllotmentExchange.cpp
@@ -78,6 +78,8 @@
     ++Lease.Waiting;
     if (Decision.Step == TokenStep::Ask)
       startRequest(Account.Name, Lease, Decision.Owner, Now);
+    else if (signal(Account.Name).expiry() != awaitsUntil(Lease))
+      signal(Account.Name).expires_at(awaitsUntil(Lease));
     co_await signal(Account.Name).async_wait(UseTuple);
     --Lease.Waiting;
   }
--- a/Tests/LibAccount/TestAllotments.cpp
+++ b/Tests/LibAccount/TestAllotments.cpp
@@ -106,6 +106,30 @@
   EXPECT_TRUE(State.Skipped.empty());
 }
 
+// Guards against requests that are rejected because a host without tokens was
+// asked in place of a slow owner, also after the owner has responded.
+TEST_F(AllotmentsTest, RefusalInPlaceOfASlowOwnerIsNotFinal) {
+  const TokenDecision First = acquire(Other, Now);
+  TokenLease &Lease = State.Leases.at(Other.Name);
+  beginRequest(State, Lease, First.Owner.Host, Now);
+  const PendingTokenRequest Sent = *Lease.Pending;
+  expireRequest(State, Lease, Now + OwnerTimeout);
+  beginRequest(State, Lease, HostId("h9"), Now + OwnerTimeout);
+  onResponse(State, Lease, *Lease.Pending, {0, {}, 900ms}, Now + 42ms);
+  EXPECT_EQ(
+      decide(State, Lease, Other, Now + TokenWaitMaximum, Generator, Now + 42ms)
+          .Step,
+      TokenStep::Await);
+  EXPECT_EQ(awaitsUntil(Lease), Now + TokenWaitMaximum);
+  EXPECT_EQ(decide(State, Lease, Other, Now + TokenWaitMaximum, Generator,
+                   Now + TokenWaitMaximum)
+                .Step,
+            TokenStep::Refused);
+  onResponse(State, Lease, Sent, {1, TokenLifetime, {}}, Now + 150ms);
+  EXPECT_EQ(acquire(Other, Now + 150ms).Step, TokenStep::Taken);
+  EXPECT_EQ(acquire(Other, Now + 150ms).Step, TokenStep::Ask);
+}
+
 // Guards against requests that wait for one owner after another.
 TEST_F(AllotmentsTest, WaitEndsWithTheFallback) {
   TokenLease &Lease = beginAcquire(State, Other.Name, Now);
--- a/Tests/LibAccount/TestQuotaFleet.cpp
+++ b/Tests/LibAccount/TestQuotaFleet.cpp
@@ -19,6 +19,9 @@
 /// Views differ for at most this long after a change of the fleet.
 constexpr Duration ViewLagMaximum = 500ms;
 constexpr Duration TickInterval = 50ms;
+/// A host of 0.1 cores that has used up its share of a period of 100 ms waits
+/// for the next one.
+constexpr Duration StallMaximum = 90ms;
 
 enum class FaultKind {
   Freeze,
@@ -50,6 +53,9 @@
   double Burst = 0;
   /// 0 spreads the demand evenly; with 1 the first host gets most of it.
   double Skew = 0;
+  /// Share of the messages whose receiver is out of processor time for up to
+  /// StallMaximum.
+  double StalledShare = 0;
   std::vector<LoadChange> Loads;
   std::vector<Fault> Faults;
   Duration Time{0};
@@ -257,8 +263,11 @@
     ++Messages;
     if (!areConnected(From, To) || uniform(0, 1) < LostShare)
       return;
-    const Duration Latency =
+    Duration Latency =
         std::chrono::duration_cast<Duration>(1ms * uniform(0.1, 3));
+    if (Drawn.StalledShare > 0 && uniform(0, 1) < Drawn.StalledShare)
+      Latency +=
+          std::chrono::duration_cast<Duration>(StallMaximum * uniform(0, 1));
     onHost(To, now() + Latency, std::move(Deliver));
   }
 
@@ -321,6 +330,9 @@
     case TokenStep::Await:
       ++Lease.Waiting;
       Host.Waiters.push_back(Caller);
+      if (!Lease.Pending)
+        onHost(Index, awaitsUntil(Lease),
+               [this, Index] { wakeWaiters(Index); });
       return;
     }
   }
@@ -415,6 +427,7 @@
             [](const LoadChange &One, const LoadChange &Other) {
               return One.Begin < Other.Begin;
             });
+  Drawn.StalledShare = draw(0, 2) == 0 ? draw(1, 30) / 100.0 : 0;
   for (int Count = draw(0, 5); Count > 0; --Count)
     Drawn.Faults.push_back({static_cast<FaultKind>(draw(0, 6)),
                             std::chrono::milliseconds(draw(0, 18'000)),
@@ -484,5 +497,20 @@
   EXPECT_GE(Fleet.servedShare(), 0.95);
 }
 
+// Guards against requests within the rate that are rejected because the owner
+// is a slow host: those that are asked in its place have hardly any tokens.
+TEST(QuotaFleetTest, SlowOwnersCostFewRequests) {
+  for (const double Usual : {174.0, 20.0, 4.4}) {
+    Play Drawn = manyHosts(Usual * 1.6, Usual * 1.6, 0.625);
+    Drawn.Time = 60s;
+    Drawn.StalledShare = 0.05;
+    QuotaFleet Fleet(Drawn);
+    Fleet.run();
+    EXPECT_GE(Fleet.servedShare(), 0.99) << Usual << " requests per second";
+    EXPECT_LE(Fleet.longestWait(), TokenWaitMaximum + 10ms);
+    EXPECT_LE(Fleet.excess(), 0);
+  }
+}
+
 } // namespace
 } // namespace comfreyrill
