LibAccount: Keep saved tokens when an unrelated host is lost

What callers saw: each time any host of the fleet left the view (killed, replaced, leaving), accounts of other owners that had been within their rate got 429 for 0.5 s and more: their owner began with an empty bucket at the reduced rate of a new owner.

Change: the owner remembers which hosts were lost when, and an account begins anew only if one of them preceded this host in the order of that account.

Tested: TestLibAccount. LossOfAnotherHostLeavesSavedTokens fails without the change (0 of 10 tokens granted).

--- a/Libraries/LibAccount/Allotments.cpp
+++ b/Libraries/LibAccount/Allotments.cpp
@@ -14,6 +14,8 @@
 // pause only makes the host miss the responses of some requests.
 constexpr Duration PauseThreshold = std::chrono::milliseconds(500);
 constexpr Duration SweepInterval = std::chrono::seconds(5);
+// Longer than any account needs to save up its burst.
+constexpr Duration LostOwnerMemory = std::chrono::hours(1);
 constexpr Duration LeaseIdleTime = std::chrono::seconds(10);
 // The timer of a wait may fire this late on a busy host, which must not keep it
 // from asking the second owner.
@@ -30,6 +32,17 @@
           ownerPosition(State.View, Holder.Name)};
 }
 
+// A lost host matters only to the accounts of which it was a possible owner:
+// the loss of any other host must not cost an account what it has saved up.
+TimePoint ownerSince(const Allotments &State, const AccountName &Account) {
+  const std::uint64_t OwnHash = ownerHash(State.View.Self);
+  TimePoint Since = State.OwnerSince;
+  for (const auto &[Host, Known] : State.Lost)
+    if (Known.LostAt > Since && precedes(Known.Hash, OwnHash, Account))
+      Since = Known.LostAt;
+  return Since;
+}
+
 void resetOwnership(Allotments &State, TimePoint Now) {
   State.OwnerSince = Now;
   for (auto &[Account, Bucket] : State.Buckets) {
@@ -42,6 +55,9 @@
 void sweep(Allotments &State, TimePoint Now) {
   std::erase_if(State.Skipped,
                 [&](const auto &Entry) { return Entry.second <= Now; });
+  std::erase_if(State.Lost, [&](const auto &Entry) {
+    return Now - Entry.second.LostAt > LostOwnerMemory;
+  });
   std::erase_if(State.Leases, [&](const auto &Entry) {
     const TokenLease &Lease = Entry.second;
     return Lease.Waiting == 0 && !Lease.Pending &&
@@ -98,11 +114,9 @@
         View.Candidates.begin(), View.Candidates.end(),
         [&](const OwnerCandidate &New) { return New.Host == Known.Host; });
   };
-  const bool HasLost = !std::all_of(State.View.Candidates.begin(),
-                                    State.View.Candidates.end(), Remains);
-  // This host may have become the owner of accounts that it does not know.
-  if (HasLost)
-    State.OwnerSince = Now;
+  for (const OwnerCandidate &Known : State.View.Candidates)
+    if (!Remains(Known))
+      State.Lost[Known.Host] = {Known.Hash, Now};
   State.View = std::move(View);
   for (auto &[Account, Bucket] : State.Buckets) {
     AllotmentTerms Terms = Bucket.Terms;
@@ -120,10 +134,11 @@
   const AllotmentTerms Terms = termsOf(State, Holder);
   auto Position = State.Buckets.find(Holder.Name);
   if (Position == State.Buckets.end())
-    Position =
-        State.Buckets
-            .emplace(Holder.Name, makeOwnerBucket(Terms, State.OwnerSince, Now))
-            .first;
+    Position = State.Buckets
+                   .emplace(Holder.Name,
+                            makeOwnerBucket(
+                                Terms, ownerSince(State, Holder.Name), Now))
+                   .first;
   return grantBatch(Position->second, Terms, Wanted, Now);
 }
 
--- a/Libraries/LibAccount/Allotments.h
+++ b/Libraries/LibAccount/Allotments.h
@@ -18,14 +18,21 @@
 /// 100 ms responds up to 90 ms late.
 inline constexpr Duration TokenWaitMaximum = std::chrono::milliseconds(120);
 
+/// A host that has left the view, and may have owned accounts before.
+struct LostOwner {
+  std::uint64_t Hash = 0;
+  TimePoint LostAt;
+};
+
 /// What one host knows of the allotments of accounts, as their owner and as a
 /// host that needs tokens.
 struct Allotments {
   TimePoint Started;
   FleetView View;
-  /// Last time at which another host left the view or this host resumed. Until
-  /// then another host may have been the owner of any account.
+  /// Last time at which this host started or resumed. Until then another host
+  /// may have been the owner of any account.
   TimePoint OwnerSince;
+  std::map<HostId, LostOwner> Lost;
   TimePoint LastTick;
   TimePoint NextSweep;
   SkippedOwners Skipped;
--- a/Libraries/LibAccount/OwnerChoice.cpp
+++ b/Libraries/LibAccount/OwnerChoice.cpp
@@ -45,6 +45,12 @@
   return Chosen;
 }
 
+bool precedes(std::uint64_t Hash, std::uint64_t OtherHash,
+              const AccountName &Account) {
+  const std::uint64_t AccountHash = stableHash({Account.Value});
+  return rankOf(Hash, AccountHash) > rankOf(OtherHash, AccountHash);
+}
+
 std::size_t ownerPosition(const FleetView &View, const AccountName &Account) {
   const std::uint64_t AccountHash = stableHash({Account.Value});
   const auto Self = std::find_if(
--- a/Libraries/LibAccount/OwnerChoice.h
+++ b/Libraries/LibAccount/OwnerChoice.h
@@ -41,6 +41,11 @@
                                   const AccountName &Account,
                                   const SkippedOwners &Skipped, TimePoint Now);
 
+/// True if the host with this hash precedes the other one in the rendezvous
+/// order of the account.
+bool precedes(std::uint64_t Hash, std::uint64_t OtherHash,
+              const AccountName &Account);
+
 /// Number of live hosts that precede this one in the rendezvous order of the
 /// account; 0 for the owner.
 std::size_t ownerPosition(const FleetView &View, const AccountName &Account);
--- a/Tests/LibAccount/TestAllotments.cpp
+++ b/Tests/LibAccount/TestAllotments.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <string>
 
 namespace comfreyrill {
@@ -173,6 +174,20 @@
   EXPECT_EQ(grantAsOwner(State, Other, 50, Now).Granted, 0);
 }
 
+// Guards against the loss of a host that costs the accounts of other hosts what
+// they have saved up, so that their next requests are rejected.
+TEST_F(AllotmentsTest, LossOfAnotherHostLeavesSavedTokens) {
+  const auto Unrelated = std::find_if(
+      State.View.Candidates.begin(), State.View.Candidates.end(),
+      [&](const OwnerCandidate &Known) { return Known.Host != HostId("h0"); });
+  FleetView Smaller = State.View;
+  std::erase_if(Smaller.Candidates, [&](const OwnerCandidate &Candidate) {
+    return Candidate.Host == Unrelated->Host;
+  });
+  updateView(State, Smaller, Now);
+  EXPECT_EQ(grantAsOwner(State, Own, 10, Now).Granted, 10);
+}
+
 // Guards against memory that grows with the number of account names, and
 // against a bucket that is forgotten before it is full.
 TEST_F(AllotmentsTest, IdleAccountsAreForgotten) {
