Tests/LibAccount: Wake simulated callers once for each time

With RC_PARAMS="seed=11 max_success=600", QuotaIsKeptInEveryWindow did not end within 200 s: each caller that waited for a late response scheduled an event of its own at each wake-up, and each event woke all callers of the host. Hosts now have one timer for their waiting callers, as in the exchange.

--- a/Tests/LibAccount/TestQuotaFleet.cpp
+++ b/Tests/LibAccount/TestQuotaFleet.cpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <set>
 #include <string>
+#include <utility>
 
 namespace comfreyrill {
 namespace {
@@ -128,6 +129,7 @@
     bool IsFrozen = false;
     std::size_t Part = 0;
     std::vector<Waiter> Waiters;
+    TimePoint WakesAt;
     /// What the host does when it resumes.
     std::vector<std::function<void()>> Delayed;
   };
@@ -169,6 +171,7 @@
     ++Host.Incarnation;
     Host.IsFrozen = false;
     Host.Waiters.clear();
+    Host.WakesAt = {};
     Host.Delayed.clear();
     Host.State = makeAllotments(hostId(Index), StartedAt);
     Host.State.LastTick = now();
@@ -330,13 +333,22 @@
     case TokenStep::Await:
       ++Lease.Waiting;
       Host.Waiters.push_back(Caller);
-      if (!Lease.Pending)
-        onHost(Index, awaitsUntil(Lease),
-               [this, Index] { wakeWaiters(Index); });
+      wakeAt(Index, awaitsUntil(Lease));
       return;
     }
   }
 
+  /// Like the one timer of the waiting callers of a host.
+  void wakeAt(std::size_t Index, TimePoint When) {
+    SimulatedHost &Host = Hosts[Index];
+    if (std::exchange(Host.WakesAt, When) == When)
+      return;
+    onHost(Index, When, [this, Index, When] {
+      if (Hosts[Index].WakesAt == When)
+        wakeWaiters(Index);
+    });
+  }
+
   void wakeWaiters(std::size_t Index) {
     SimulatedHost &Host = Hosts[Index];
     const std::vector<Waiter> Woken = std::move(Host.Waiters);
@@ -355,11 +367,7 @@
     const PendingTokenRequest Request = *Lease.Pending;
     const auto Owner =
         static_cast<std::size_t>(std::stoul(Chosen.Host.Value.substr(1)));
-    onHost(Index, now() + OwnerTimeout, [this, Index, Request] {
-      TokenLease &Waited = Hosts[Index].State.Leases[Holder.Name];
-      if (Waited.Pending && Waited.Pending->Number == Request.Number)
-        wakeWaiters(Index);
-    });
+    wakeAt(Index, awaitsUntil(Lease));
     const std::uint64_t Incarnation = Host.Incarnation;
     send(Index, Owner, [this, Index, Owner, Wanted, Request, Incarnation] {
       const GrantedBatch Batch =
