--- a/Libraries/LibAccount/Allotments.cpp
+++ b/Libraries/LibAccount/Allotments.cpp
@@ -14,6 +14,8 @@
 // pause only makes the host miss the responses of some requests.
 constexpr Duration PauseThreshold = std::chrono::milliseconds(500);
 constexpr Duration SweepInterval = std::chrono::seconds(5);
+// Longer than any account needs to save up its burst.
+constexpr Duration LostOwnerMemory = std::chrono::hours(1);
 constexpr Duration LeaseIdleTime = std::chrono::seconds(10);
 // The timer of a wait may fire this late on a busy host, which must not keep it
 // from asking the second owner.
@@ -30,6 +32,17 @@
           ownerPosition(State.View, Holder.Name)};
 }
 
+// A lost host matters only to the accounts of which it was a possible owner:
+// the loss of any other host must not cost an account what it has saved up.
+TimePoint ownerSince(const Allotments &State, const AccountName &Account) {
+  const std::uint64_t OwnHash = ownerHash(State.View.Self);
+  TimePoint Since = State.OwnerSince;
+  for (const auto &[Host, Known] : State.Lost)
+    if (Known.LostAt > Since && precedes(Known.Hash, OwnHash, Account))
+      Since = Known.LostAt;
+  return Since;
+}
+
 void resetOwnership(Allotments &State, TimePoint Now) {
   State.OwnerSince = Now;
   for (auto &[Account, Bucket] : State.Buckets) {
@@ -42,6 +55,9 @@
 void sweep(Allotments &State, TimePoint Now) {
   std::erase_if(State.Skipped,
                 [&](const auto &Entry) { return Entry.second <= Now; });
+  std::erase_if(State.Lost, [&](const auto &Entry) {
+    return Now - Entry.second.LostAt > LostOwnerMemory;
+  });
   std::erase_if(State.Leases, [&](const auto &Entry) {
     const TokenLease &Lease = Entry.second;
     return Lease.Waiting == 0 && !Lease.Pending &&
@@ -98,11 +114,9 @@
         View.Candidates.begin(), View.Candidates.end(),
         [&](const OwnerCandidate &New) { return New.Host == Known.Host; });
   };
-  const bool HasLost = !std::all_of(State.View.Candidates.begin(),
-                                    State.View.Candidates.end(), Remains);
-  // This host may have become the owner of accounts that it does not know.
-  if (HasLost)
-    State.OwnerSince = Now;
+  for (const OwnerCandidate &Known : State.View.Candidates)
+    if (!Remains(Known))
+      State.Lost[Known.Host] = {Known.Hash, Now};
   State.View = std::move(View);
   for (auto &[Account, Bucket] : State.Buckets) {
     AllotmentTerms Terms = Bucket.Terms;
@@ -120,10 +134,11 @@
   const AllotmentTerms Terms = termsOf(State, Holder);
   auto Position = State.Buckets.find(Holder.Name);
   if (Position == State.Buckets.end())
-    Position =
-        State.Buckets
-            .emplace(Holder.Name, makeOwnerBucket(Terms, State.OwnerSince, Now))
-            .first;
+    Position = State.Buckets
+                   .emplace(Holder.Name,
+                            makeOwnerBucket(
+                                Terms, ownerSince(State, Holder.Name), Now))
+                   .first;
   return grantBatch(Position->second, Terms, Wanted, Now);
 }
 
@@ -135,9 +150,11 @@
   return Lease;
 }
 
-TokenDecision decide(Allotments &State, TokenLease &Lease,
-                     const ClientAccount &Holder, TimePoint GiveUpAt,
-                     Random &Generator, TimePoint Now) {
+namespace {
+
+TokenDecision decideAtOnce(Allotments &State, TokenLease &Lease,
+                           const ClientAccount &Holder, TimePoint GiveUpAt,
+                           Random &Generator, TimePoint Now) {
   if (takeToken(Lease, Now))
     return {TokenStep::Taken, TokenSource::Lease, {}, {}};
   if (Now < Lease.RefusedUntil)
@@ -169,6 +186,33 @@
   return {TokenStep::Ask, {}, {}, *Owner};
 }
 
+bool mayStillRespond(const TokenLease &Lease, TimePoint GiveUpAt,
+                     TimePoint Now) {
+  return Lease.Late && Now < Lease.Late->SentAt + TokenWaitMaximum &&
+         Lease.Late->SentAt + TokenWaitMaximum <= GiveUpAt + TimerDelay;
+}
+
+} // namespace
+
+// The hosts that are asked in place of a slow owner have few tokens or none, so
+// their refusal does not show that the account has used up its quota.
+TokenDecision decide(Allotments &State, TokenLease &Lease,
+                     const ClientAccount &Holder, TimePoint GiveUpAt,
+                     Random &Generator, TimePoint Now) {
+  const TokenDecision Decision =
+      decideAtOnce(State, Lease, Holder, GiveUpAt, Generator, Now);
+  if (Decision.Step == TokenStep::Refused &&
+      mayStillRespond(Lease, GiveUpAt, Now))
+    return {TokenStep::Await, {}, {}, {}};
+  return Decision;
+}
+
+TimePoint awaitsUntil(const TokenLease &Lease) {
+  if (Lease.Pending)
+    return Lease.Pending->SentAt + OwnerTimeout;
+  return Lease.Late ? Lease.Late->SentAt + TokenWaitMaximum : TimePoint::min();
+}
+
 std::optional<OwnerCandidate> chooseEarlyRenewal(const Allotments &State,
                                                  const TokenLease &Lease,
                                                  const AccountName &Account,
@@ -194,16 +238,25 @@
                 const OwnerResponse &Response, TimePoint Now) {
   if (Lease.Pending && Lease.Pending->Number == Request.Number)
     Lease.Pending.reset();
+  if (Lease.Late && Lease.Late->Number == Request.Number)
+    Lease.Late.reset();
   // The response has spent a pause of this host in its buffers.
   if (Now - Request.SentAt > TokenLifetime)
     return;
   State.Skipped.erase(Request.Owner);
-  if (Response.Granted > 0)
+  if (Response.Granted > 0) {
     addTokens(Lease, Response.Granted, Response.Lifetime, Request.SentAt, Now);
-  else if (Response.RetryAfter)
+    // A host that was asked in place of this one may have refused tokens.
+    Lease.RefusedUntil = Now;
+  } else if (Response.RetryAfter) {
     Lease.RefusedUntil = Now + std::clamp(*Response.RetryAfter,
                                           Duration::zero(), RefusalMaximum);
-  else
+    // The owner is asked again when it is no longer skipped.
+    if (Lease.Late)
+      Lease.RefusedUntil =
+          std::min(Lease.RefusedUntil,
+                   std::max(Now, Lease.Late->SentAt + OwnerTimeout + SkipTime));
+  } else
     Lease.UnownedUntil = Now + UnownedTime;
 }
 
@@ -221,6 +274,8 @@
   if (!Lease.Pending || Now < Lease.Pending->SentAt + OwnerTimeout)
     return std::nullopt;
   const HostId Owner = Lease.Pending->Owner;
+  if (!Lease.Late || Now >= Lease.Late->SentAt + TokenWaitMaximum)
+    Lease.Late = Lease.Pending;
   onFailure(State, Lease, Lease.Pending->Number, Now);
   return Owner;
 }
--- a/Tests/LibAccount/TestAllotments.cpp
+++ b/Tests/LibAccount/TestAllotments.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <string>
 
 namespace comfreyrill {
@@ -106,6 +107,30 @@
   EXPECT_TRUE(State.Skipped.empty());
 }
 
+// Guards against requests that are rejected because a host without tokens was
+// asked in place of a slow owner, also after the owner has responded.
+TEST_F(AllotmentsTest, RefusalInPlaceOfASlowOwnerIsNotFinal) {
+  const TokenDecision First = acquire(Other, Now);
+  TokenLease &Lease = State.Leases.at(Other.Name);
+  beginRequest(State, Lease, First.Owner.Host, Now);
+  const PendingTokenRequest Sent = *Lease.Pending;
+  expireRequest(State, Lease, Now + OwnerTimeout);
+  beginRequest(State, Lease, HostId("h9"), Now + OwnerTimeout);
+  onResponse(State, Lease, *Lease.Pending, {0, {}, 900ms}, Now + 42ms);
+  EXPECT_EQ(
+      decide(State, Lease, Other, Now + TokenWaitMaximum, Generator, Now + 42ms)
+          .Step,
+      TokenStep::Await);
+  EXPECT_EQ(awaitsUntil(Lease), Now + TokenWaitMaximum);
+  EXPECT_EQ(decide(State, Lease, Other, Now + TokenWaitMaximum, Generator,
+                   Now + TokenWaitMaximum)
+                .Step,
+            TokenStep::Refused);
+  onResponse(State, Lease, Sent, {1, TokenLifetime, {}}, Now + 150ms);
+  EXPECT_EQ(acquire(Other, Now + 150ms).Step, TokenStep::Taken);
+  EXPECT_EQ(acquire(Other, Now + 150ms).Step, TokenStep::Ask);
+}
+
 // Guards against requests that wait for one owner after another.
 TEST_F(AllotmentsTest, WaitEndsWithTheFallback) {
   TokenLease &Lease = beginAcquire(State, Other.Name, Now);
@@ -149,6 +174,20 @@
   EXPECT_EQ(grantAsOwner(State, Other, 50, Now).Granted, 0);
 }
 
+// Guards against the loss of a host that costs the accounts of other hosts what
+// they have saved up, so that their next requests are rejected.
+TEST_F(AllotmentsTest, LossOfAnotherHostLeavesSavedTokens) {
+  const auto Unrelated = std::find_if(
+      State.View.Candidates.begin(), State.View.Candidates.end(),
+      [&](const OwnerCandidate &Known) { return Known.Host != HostId("h0"); });
+  FleetView Smaller = State.View;
+  std::erase_if(Smaller.Candidates, [&](const OwnerCandidate &Candidate) {
+    return Candidate.Host == Unrelated->Host;
+  });
+  updateView(State, Smaller, Now);
+  EXPECT_EQ(grantAsOwner(State, Own, 10, Now).Granted, 10);
+}
+
 // Guards against memory that grows with the number of account names, and
 // against a bucket that is forgotten before it is full.
 TEST_F(AllotmentsTest, IdleAccountsAreForgotten) {
--- a/Tests/LibAccount/TestQuotaFleet.cpp
+++ b/Tests/LibAccount/TestQuotaFleet.cpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <set>
 #include <string>
+#include <utility>
 
 namespace comfreyrill {
 namespace {
@@ -19,6 +20,9 @@
 /// Views differ for at most this long after a change of the fleet.
 constexpr Duration ViewLagMaximum = 500ms;
 constexpr Duration TickInterval = 50ms;
+/// A host of 0.1 cores that has used up its share of a period of 100 ms waits
+/// for the next one.
+constexpr Duration StallMaximum = 90ms;
 
 enum class FaultKind {
   Freeze,
@@ -50,6 +54,9 @@
   double Burst = 0;
   /// 0 spreads the demand evenly; with 1 the first host gets most of it.
   double Skew = 0;
+  /// Share of the messages whose receiver is out of processor time for up to
+  /// StallMaximum.
+  double StalledShare = 0;
   std::vector<LoadChange> Loads;
   std::vector<Fault> Faults;
   Duration Time{0};
@@ -122,6 +129,7 @@
     bool IsFrozen = false;
     std::size_t Part = 0;
     std::vector<Waiter> Waiters;
+    TimePoint WakesAt;
     /// What the host does when it resumes.
     std::vector<std::function<void()>> Delayed;
   };
@@ -163,6 +171,7 @@
     ++Host.Incarnation;
     Host.IsFrozen = false;
     Host.Waiters.clear();
+    Host.WakesAt = {};
     Host.Delayed.clear();
     Host.State = makeAllotments(hostId(Index), StartedAt);
     Host.State.LastTick = now();
@@ -257,8 +266,11 @@
     ++Messages;
     if (!areConnected(From, To) || uniform(0, 1) < LostShare)
       return;
-    const Duration Latency =
+    Duration Latency =
         std::chrono::duration_cast<Duration>(1ms * uniform(0.1, 3));
+    if (Drawn.StalledShare > 0 && uniform(0, 1) < Drawn.StalledShare)
+      Latency +=
+          std::chrono::duration_cast<Duration>(StallMaximum * uniform(0, 1));
     onHost(To, now() + Latency, std::move(Deliver));
   }
 
@@ -321,10 +333,22 @@
     case TokenStep::Await:
       ++Lease.Waiting;
       Host.Waiters.push_back(Caller);
+      wakeAt(Index, awaitsUntil(Lease));
       return;
     }
   }
 
+  /// Like the one timer of the waiting callers of a host.
+  void wakeAt(std::size_t Index, TimePoint When) {
+    SimulatedHost &Host = Hosts[Index];
+    if (std::exchange(Host.WakesAt, When) == When)
+      return;
+    onHost(Index, When, [this, Index, When] {
+      if (Hosts[Index].WakesAt == When)
+        wakeWaiters(Index);
+    });
+  }
+
   void wakeWaiters(std::size_t Index) {
     SimulatedHost &Host = Hosts[Index];
     const std::vector<Waiter> Woken = std::move(Host.Waiters);
@@ -343,11 +367,7 @@
     const PendingTokenRequest Request = *Lease.Pending;
     const auto Owner =
         static_cast<std::size_t>(std::stoul(Chosen.Host.Value.substr(1)));
-    onHost(Index, now() + OwnerTimeout, [this, Index, Request] {
-      TokenLease &Waited = Hosts[Index].State.Leases[Holder.Name];
-      if (Waited.Pending && Waited.Pending->Number == Request.Number)
-        wakeWaiters(Index);
-    });
+    wakeAt(Index, awaitsUntil(Lease));
     const std::uint64_t Incarnation = Host.Incarnation;
     send(Index, Owner, [this, Index, Owner, Wanted, Request, Incarnation] {
       const GrantedBatch Batch =
@@ -415,6 +435,7 @@
             [](const LoadChange &One, const LoadChange &Other) {
               return One.Begin < Other.Begin;
             });
+  Drawn.StalledShare = draw(0, 2) == 0 ? draw(1, 30) / 100.0 : 0;
   for (int Count = draw(0, 5); Count > 0; --Count)
     Drawn.Faults.push_back({static_cast<FaultKind>(draw(0, 6)),
                             std::chrono::milliseconds(draw(0, 18'000)),
@@ -484,5 +505,20 @@
   EXPECT_GE(Fleet.servedShare(), 0.95);
 }
 
+// Guards against requests within the rate that are rejected because the owner
+// is a slow host: those that are asked in its place have hardly any tokens.
+TEST(QuotaFleetTest, SlowOwnersCostFewRequests) {
+  for (const double Usual : {174.0, 20.0, 4.4}) {
+    Play Drawn = manyHosts(Usual * 1.6, Usual * 1.6, 0.625);
+    Drawn.Time = 60s;
+    Drawn.StalledShare = 0.05;
+    QuotaFleet Fleet(Drawn);
+    Fleet.run();
+    EXPECT_GE(Fleet.servedShare(), 0.99) << Usual << " requests per second";
+    EXPECT_LE(Fleet.longestWait(), TokenWaitMaximum + 10ms);
+    EXPECT_LE(Fleet.excess(), 0);
+  }
+}
+
 } // namespace
 } // namespace comfreyrill
