Gateway: Check held requests against a new configuration

What callers would see: a request that was held, for instance for the end of a pause of its targets, ran with a key or on a route that had been removed meanwhile, or under the name of an account that the key no longer belongs to. Removed keys and routes must stop working within 2.5 s of the acknowledgement of a configuration, and requests are held for longer.

Cause: a request kept the configuration with which it arrived until its end.

Change: before each attempt, a request is checked against a configuration that has come into force since. Removed routes get 404 and removed keys 401; if the key belongs to another account now, 503 asks the caller to send the request again. None of these has run, and its token is returned.

Tested: TestGateway, RequestExecutionTest. HeldRequestIsCheckedAgainAfterAChange fails without the change: both requests were answered 200, and no token was returned.

--- a/Services/Gateway/RequestExecution.cpp
+++ b/Services/Gateway/RequestExecution.cpp
@@ -99,7 +99,6 @@
 Awaitable<std::optional<HttpResponse>> RequestExecution::authorizeCaller() {
   const Authorization Checked =
       authorize(*CurrentConfiguration, *SelectedRoute, Metadata.AccessKey);
-  Metadata.AccessKey.clear();
   if (Checked.Verdict != AuthorizationVerdict::Allowed)
     co_return refuse(http::status::unauthorized,
                      Checked.Verdict == AuthorizationVerdict::MissingKey
@@ -117,6 +116,32 @@
   co_return std::nullopt;
 }
 
+// A request can be held for seconds, longer than a removed key or route may go
+// on working.
+bool RequestExecution::isStillValid() {
+  const auto Latest = Dependencies.CurrentState.configuration();
+  if (Latest == CurrentConfiguration || Latest == RecheckedConfiguration)
+    return true;
+  RecheckedConfiguration = Latest;
+  const Route *Matched = findRoute(*Latest, Metadata.Host, Metadata.Path);
+  if (Matched == nullptr) {
+    Invalidity = {http::status::not_found, "no_route", std::nullopt};
+    return false;
+  }
+  const Authorization Checked =
+      authorize(*Latest, *Matched, Metadata.AccessKey);
+  if (Checked.Verdict != AuthorizationVerdict::Allowed)
+    Invalidity = {http::status::unauthorized, "unknown_key", std::nullopt};
+  else if ((Checked.Account == nullptr
+                ? AccountName()
+                : Checked.Account->Name) != accountName() ||
+           Latest->Accounts.has_value() !=
+               CurrentConfiguration->Accounts.has_value())
+    Invalidity = {http::status::service_unavailable, "account_changed",
+                  RetryWithoutConfiguration};
+  return !Invalidity;
+}
+
 Awaitable<HttpResponse> RequestExecution::execute(const Route &Matched) {
   // The last attempt whose request may have run. Once there is one, the
   // response must not claim that the request has not run.
@@ -135,7 +160,7 @@
     IsSelectionRepeated = !IsUsable;
     // Other copies may have crashed targets meanwhile, or the host may have
     // been told to shut down.
-    if (HasCallerLeft || !IsUsable || isQuarantined() ||
+    if (HasCallerLeft || !IsUsable || !isStillValid() || isQuarantined() ||
         isTooLateInDrain(expectedTime(Target->Candidate)) ||
         !mayBeginAttempt()) {
       Prober.release(std::move(*Target));
@@ -213,6 +238,9 @@
 HttpResponse RequestExecution::refuseNotRun() {
   if (HoldsToken && Dependencies.ReturnToken)
     Dependencies.ReturnToken(Account->Name);
+  if (Invalidity)
+    return refuse(Invalidity->Status, Invalidity->Reason,
+                  Invalidity->RetryAfter);
   if (Dependencies.Domains != nullptr && Refusal == RefusalCause::Overloaded)
     Dependencies.Domains->recordRefusal(Service, DomainChoice);
   if (QuarantineLeft)
--- a/Services/Gateway/RequestExecution.h
+++ b/Services/Gateway/RequestExecution.h
@@ -31,6 +31,11 @@
   void cancel();
 
 private:
+  struct Rejection {
+    http::status Status = http::status::unknown;
+    std::string_view Reason;
+    std::optional<Duration> RetryAfter;
+  };
   /// Result of one attempt.
   struct AttemptReport {
     AttemptOutcome Outcome = AttemptOutcome::Lost;
@@ -42,6 +47,9 @@
   /// Checks the caller's key and takes a token from the allotment of its
   /// account. Returns a response if the request must not run.
   Awaitable<std::optional<HttpResponse>> authorizeCaller();
+  /// Checks the request against a configuration that has come into force since
+  /// it arrived. Returns false if it must not run any more.
+  bool isStillValid();
   /// Returns true if the request may have another attempt. Every attempt but
   /// the first takes from the retry budget.
   bool mayBeginAttempt();
@@ -113,6 +121,10 @@
   /// The account of the caller, owned by the configuration.
   const ClientAccount *Account = nullptr;
   bool HoldsToken = false;
+  /// Later configuration by which the request is still valid.
+  std::shared_ptr<const Configuration> RecheckedConfiguration;
+  /// Set when a later configuration has made the request invalid.
+  std::optional<Rejection> Invalidity;
   ServiceName Service;
   /// Which failure domains the request may use.
   RequestChoice DomainChoice;
--- a/Tests/Gateway/TestRequestExecution.cpp
+++ b/Tests/Gateway/TestRequestExecution.cpp
@@ -213,12 +213,16 @@
                                  TargetFailure::Connection);
   }
 
-  std::shared_ptr<RequestExecution>
-  make(const std::string &Path, const std::string &Id, std::string Body = {}) {
+  std::shared_ptr<RequestExecution> make(const std::string &Path,
+                                         const std::string &Id,
+                                         std::string Body = {},
+                                         const std::string &Key = {}) {
     HttpRequest Request(http::verb::get, Path, 11);
     Request.set(http::field::host, "a.example");
     Request.set("Request-Id", Id);
     Request.set("Request-Deadline", "3000");
+    if (!Key.empty())
+      Request.set("X-Api-Key", Key);
     Request.body() = std::move(Body);
     Request.prepare_payload();
     return std::make_shared<RequestExecution>(Dependencies, Prober, *Quarantine,
@@ -380,6 +384,54 @@
   EXPECT_EQ(finish().result(), http::status::ok);
 }
 
+// Guards against a request that runs with a key or route that was removed while
+// the request was held, and against its token being lost.
+TEST_F(RequestExecutionTest, HeldRequestIsCheckedAgainAfterAChange) {
+  for (const bool IsRouteRemoved : {false, true}) {
+    configure(ExecutionSemantics::AtMostOnce, 3s);
+    Configuration Changed = *CurrentState.configuration();
+    Changed.Version.Value += 10;
+    addAccounts(Changed);
+    CurrentState.applyConfiguration(Changed, "", "test");
+    int Tokens = 1;
+    Dependencies.AcquireToken =
+        [&](const ClientAccount &) -> Awaitable<std::optional<Duration>> {
+      --Tokens;
+      co_return std::nullopt;
+    };
+    Dependencies.ReturnToken = [&](const AccountName &) { ++Tokens; };
+    FakeTarget &Paused = addTarget(answerWhole);
+    TargetSignals Pausing;
+    Pausing.Pause = 2s;
+    CurrentState.recordSignals(
+        {TargetId("i-" + std::to_string(Targets.size())), 0}, Paused.address(),
+        Pausing, SignalSource::Answer);
+    ProcessMetrics.counter("requests_held_for_pause_total") = 0;
+    Answer.reset();
+    auto Held = make("/x/1", "r-1", {}, "key-of-alder");
+    start(Held);
+    while (ProcessMetrics.counter("requests_held_for_pause_total") == 0 &&
+           !Answer && Loop.run_one() > 0) {
+    }
+    Changed.Version.Value += 10;
+    if (IsRouteRemoved)
+      Changed.Routes.clear();
+    else
+      Changed.Keys = {};
+    CurrentState.applyConfiguration(Changed, "", "test");
+    FakeTarget &Free = addTarget(answerWhole);
+    EXPECT_EQ(finish().result(), IsRouteRemoved ? http::status::not_found
+                                                : http::status::unauthorized);
+    EXPECT_EQ(Paused.Runs + Free.Runs, 0);
+    EXPECT_EQ(Tokens, 1);
+    CurrentState.applyTargetChange(
+        {TargetId("i-" + std::to_string(Targets.size())),
+         std::nullopt,
+         {++Revision}},
+        "test");
+  }
+}
+
 // Guards against requests beyond an allotment that run, and against tokens that
 // are lost with requests that were refused for another reason.
 TEST_F(RequestExecutionTest, AllotmentsAreEnforcedAndTokensReturned) {
