LibAccount: Limit the Retry-After of a host without an owner to its cause

What callers saw: a Retry-After of up to minutes (188 s for an account of 3 requests per second with 500 known hosts) with a 429 that was due to an owner that did not respond, to a new host, or to an owner that did not know the account yet. Each of these lasts a second at most, and callers give up on longer times than a third of what they have left.

Cause: the time of the next token of one host's share of the rate was used.

Change: the Retry-After ends at most 0.25 s, drawn at random, after the owner is asked again, so that the callers refused by one host do not return together.

Tested: TestLibAccount.

--- a/Libraries/LibAccount/Allotments.cpp
+++ b/Libraries/LibAccount/Allotments.cpp
@@ -13,6 +13,8 @@
 // Above the interval of ticks, with a margin for hosts of 0.1 cores. A shorter
 // pause only makes the host miss the responses of some requests.
 constexpr Duration PauseThreshold = std::chrono::milliseconds(500);
+// Callers that a host refuses at the same time come back over this time.
+constexpr Duration FallbackSpread = std::chrono::milliseconds(250);
 constexpr Duration SweepInterval = std::chrono::seconds(5);
 // Longer than any account needs to save up its burst.
 constexpr Duration LostOwnerMemory = std::chrono::hours(1);
@@ -71,12 +73,29 @@
                 [](const auto &Entry) { return isFull(Entry.second); });
 }
 
+TimePoint firstSkipEnd(const Allotments &State, TimePoint Now) {
+  TimePoint First = Now + SkipTime;
+  for (const auto &[Owner, Until] : State.Skipped)
+    if (Until > Now)
+      First = std::min(First, Until);
+  return First;
+}
+
+// The owner is asked again from Until on. The share of one of many hosts may
+// have its next token only minutes later.
 TokenDecision fallBack(Allotments &State, TokenLease &Lease, double Rate,
-                       Random &Generator, TimePoint Now) {
+                       TimePoint Until, Random &Generator, TimePoint Now) {
   const auto RetryAfter = takeFallbackToken(
       Lease.Fallback, Rate, State.View.KnownHosts, Generator, Now);
-  if (RetryAfter)
-    return {TokenStep::Refused, TokenSource::Fallback, *RetryAfter, {}};
+  if (RetryAfter) {
+    std::uniform_real_distribution<double> Fraction(0, 1);
+    const auto Spread = std::chrono::duration_cast<Duration>(
+        FallbackSpread * Fraction(Generator));
+    return {TokenStep::Refused,
+            TokenSource::Fallback,
+            std::min(*RetryAfter, std::max(Until - Now, Duration(0)) + Spread),
+            {}};
+  }
   Lease.LastSource = TokenSource::Fallback;
   return {TokenStep::Taken, TokenSource::Fallback, {}, {}};
 }
@@ -162,9 +181,11 @@
         TokenStep::Refused, TokenSource::Lease, Lease.RefusedUntil - Now, {}};
   // The owner may be as new as this host.
   if (Now - State.Started < NewHostTime)
-    return fallBack(State, Lease, Holder.Rate, Generator, Now);
+    return fallBack(State, Lease, Holder.Rate, State.Started + NewHostTime,
+                    Generator, Now);
   if (Now < Lease.UnownedUntil)
-    return fallBack(State, Lease, Holder.Rate, Generator, Now);
+    return fallBack(State, Lease, Holder.Rate, Lease.UnownedUntil, Generator,
+                    Now);
   const auto IsInTime = [&](TimePoint SentAt) {
     return SentAt + OwnerTimeout <= GiveUpAt + TimerDelay;
   };
@@ -182,7 +203,8 @@
   }
   // An owner that does not respond here may grant the rate to other hosts.
   if (!Owner || Lease.Pending || !IsInTime(Now))
-    return fallBack(State, Lease, substituteRate(Holder.Rate), Generator, Now);
+    return fallBack(State, Lease, substituteRate(Holder.Rate),
+                    firstSkipEnd(State, Now), Generator, Now);
   return {TokenStep::Ask, {}, {}, *Owner};
 }
 
--- a/Tests/LibAccount/TestAllotments.cpp
+++ b/Tests/LibAccount/TestAllotments.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <set>
 #include <string>
 
 namespace comfreyrill {
@@ -146,6 +147,27 @@
   EXPECT_GE(Next.RetryAfter, 400ms);
 }
 
+// Guards against callers that are told to come back long after the owner can be
+// asked again, and against all of them coming back at that moment.
+TEST_F(AllotmentsTest, FallbackRefusalEndsWithItsCause) {
+  FleetView Large = State.View;
+  Large.KnownHosts = 500;
+  updateView(State, Large, Now);
+  Other.Rate = 3;
+  for (const OwnerCandidate &Known : State.View.Candidates)
+    State.Skipped[Known.Host] = Now + 400ms;
+  std::set<Duration> Times;
+  for (int Request = 0; Request < 5; ++Request) {
+    const TokenDecision Decision = acquire(Other, Now);
+    if (Decision.Step != TokenStep::Refused)
+      continue;
+    EXPECT_GE(Decision.RetryAfter, 400ms);
+    EXPECT_LE(Decision.RetryAfter, 650ms);
+    Times.insert(Decision.RetryAfter);
+  }
+  EXPECT_GE(Times.size(), 4U);
+}
+
 // Guards against a new host that takes itself for the owner of everything.
 TEST_F(AllotmentsTest, NewHostUsesTheFallback) {
   State.Started = Now - 900ms;
