--- a/Libraries/LibAccount/OwnerBucket.cpp
+++ b/Libraries/LibAccount/OwnerBucket.cpp
@@ -15,8 +15,9 @@
 constexpr double SubstituteTokens = 2;
 // Tokens with which a new owner begins. An account of one request per second
 // would otherwise get none for a second after the restart of all hosts. Three
-// failure domains that do not know one another yet grant them three times, which
-// leaves more than half of the 20 requests that a quota tolerates in a window.
+// failure domains that do not know one another yet grant them three times,
+// which leaves more than half of the 20 requests that a quota tolerates in a
+// window.
 constexpr double StartTokens = 3;
 // Hosts that request batches need a level above 1 between two requests, also
 // if the burst is small.
@@ -74,14 +75,14 @@
 // told to wait several times as long, and would go on rejecting requests.
 Duration timeUntilToken(const OwnerBucket &Bucket, TimePoint Now) {
   const double Missing = 1 - Bucket.Level;
-  const Duration AtThisRate = fromSeconds(
-      Missing / currentRate(Bucket.Terms, Bucket.FirstSince, Now));
+  const Duration AtThisRate =
+      fromSeconds(Missing / currentRate(Bucket.Terms, Bucket.FirstSince, Now));
   const TimePoint FullFrom = Bucket.FirstSince + TakeoverTime;
   if (Bucket.Terms.Position != 0 || Now >= FullFrom ||
       Now + AtThisRate <= FullFrom)
     return AtThisRate;
-  const double Later = Missing - tokensBetween(Bucket.Terms, Bucket.FirstSince,
-                                               Now, FullFrom);
+  const double Later =
+      Missing - tokensBetween(Bucket.Terms, Bucket.FirstSince, Now, FullFrom);
   return FullFrom - Now + fromSeconds(Later / fullRate(Bucket.Terms));
 }
 
@@ -98,9 +99,9 @@
   Bucket.RefilledAt = Now;
   Bucket.FirstSince = FirstSince;
   if (Terms.Position == 0)
-    Bucket.Level = std::min(
-        capacity(Terms),
-        StartTokens + tokensBetween(Terms, FirstSince, FirstSince, Now));
+    Bucket.Level =
+        std::min(capacity(Terms), StartTokens + tokensBetween(Terms, FirstSince,
+                                                              FirstSince, Now));
   return Bucket;
 }
 
@@ -129,9 +130,9 @@
     return {static_cast<std::int32_t>(Granted), std::nullopt};
   }
   const Duration UntilToken = timeUntilToken(Bucket, Now);
-  const double Rate = currentRate(
-      Bucket.Terms, Bucket.FirstSince,
-      std::max(Now + UntilToken, Bucket.RetriesUntil));
+  const double Rate =
+      currentRate(Bucket.Terms, Bucket.FirstSince,
+                  std::max(Now + UntilToken, Bucket.RetriesUntil));
   const Duration Spacing = std::max(fromSeconds(1 / Rate), RetrySpacing);
   Bucket.RetriesUntil =
       std::min(std::max(Bucket.RetriesUntil, Now) + Spacing, Now + RetrySpread);
--- a/Services/Gateway/RequestExecution.cpp
+++ b/Services/Gateway/RequestExecution.cpp
@@ -101,9 +101,9 @@
   co_return co_await execute(*SelectedRoute);
 }
 
-// Load that this answers: after a power loss of all hosts, callers return within
-// milliseconds of the start of a host, while the targets are idle. A refusal
-// would take the retry that most of them have left.
+// Load that this answers: after a power loss of all hosts, callers return
+// within milliseconds of the start of a host, while the targets are idle. A
+// refusal would take the retry that most of them have left.
 Awaitable<void> RequestExecution::waitForState() {
   for (int Round = 0; Round < StateWaitRounds && !HasCallerLeft &&
                       Dependencies.CurrentState.isStarting();
