Gateway: Return the token of a request whose route has no service

What callers saw: each request on a route whose services all have weight 0 was refused with 503 and cost its account a token, and with it a later request.

Cause: this refusal comes after the token and did not return it.

Tested: TestGateway, RequestExecutionTest. AllotmentsAreEnforcedAndTokensReturned, extended by this case, fails without the change: the token was gone, and the next valid request got 429.

--- a/Services/Gateway/RequestExecution.cpp
+++ b/Services/Gateway/RequestExecution.cpp
@@ -78,9 +78,11 @@
     co_return std::move(*Rejection);
   const ServiceName *Picked =
       chooseService(*SelectedRoute, Dependencies.Generator);
-  if (Picked == nullptr)
+  if (Picked == nullptr) {
+    returnToken();
     co_return refuse(http::status::service_unavailable, "no_service",
                      RetryWithoutConfiguration);
+  }
   Service = *Picked;
   const ServiceDescription *Described =
       findService(*CurrentConfiguration, Service);
@@ -116,6 +118,12 @@
   co_return std::nullopt;
 }
 
+void RequestExecution::returnToken() {
+  if (HoldsToken && Dependencies.ReturnToken)
+    Dependencies.ReturnToken(Account->Name);
+  HoldsToken = false;
+}
+
 // A request can be held for seconds, longer than a removed key or route may go
 // on working.
 bool RequestExecution::isStillValid() {
@@ -236,8 +244,7 @@
 // one has tried. It must wait for a pause only if all targets are paused,
 // whatever has ended this request.
 HttpResponse RequestExecution::refuseNotRun() {
-  if (HoldsToken && Dependencies.ReturnToken)
-    Dependencies.ReturnToken(Account->Name);
+  returnToken();
   if (Invalidity)
     return refuse(Invalidity->Status, Invalidity->Reason,
                   Invalidity->RetryAfter);
--- a/Services/Gateway/RequestExecution.h
+++ b/Services/Gateway/RequestExecution.h
@@ -47,6 +47,8 @@
   /// Checks the caller's key and takes a token from the allotment of its
   /// account. Returns a response if the request must not run.
   Awaitable<std::optional<HttpResponse>> authorizeCaller();
+  /// Returns the token of a request that has not run.
+  void returnToken();
   /// Checks the request against a configuration that has come into force since
   /// it arrived. Returns false if it must not run any more.
   bool isStillValid();
--- a/Tests/Gateway/TestRequestExecution.cpp
+++ b/Tests/Gateway/TestRequestExecution.cpp
@@ -454,6 +454,15 @@
   const auto Send = [&] { return sendWithKey("key-of-alder"); };
   EXPECT_EQ(Send().result(), http::status::service_unavailable);
   EXPECT_EQ(Tokens, 1);
+  // No service of the route has a weight.
+  Configuration Weightless = Changed;
+  Weightless.Version.Value += 1;
+  Weightless.Routes.front().Services.front().Weight = 0;
+  CurrentState.applyConfiguration(Weightless, "", "test");
+  EXPECT_EQ(Send().result(), http::status::service_unavailable);
+  EXPECT_EQ(Tokens, 1);
+  Changed.Version.Value += 2;
+  CurrentState.applyConfiguration(Changed, "", "test");
   FakeTarget &Only = addTarget(answerWhole);
   EXPECT_EQ(Send().result(), http::status::ok);
   const HttpResponse Refusal = Send();
