LibGateway: Split the decisions about a request into free functions

Cause: a command is to explain where a request would be sent. The reasons for which a target is left out stood inside GatewayState::candidates, which ends ejections and draws random numbers; those of a refusal inside RequestExecution; and judging a cold target records its use. Change: CandidateListing (exclusions, candidates, preferred subsets), RefusalDecision, probeCosts and rankProbes, serviceShares, previewColdTarget on a copy of one entry. The real path uses all but the last; the order of its steps and of its random numbers is the same. A target that leaves now has statistics like the others of its service.

--- a/Libraries/LibGateway/Admission.h
+++ b/Libraries/LibGateway/Admission.h
@@ -68,6 +68,14 @@
 Duration retryAfter(RefusalCause Cause, Duration ProcessingTime,
                     Random &Generator);
 
+/// Retry-After of a host that has no configuration for the request. A host gets
+/// a configuration within a second of reaching the store.
+inline constexpr Duration RetryWithoutConfiguration =
+    std::chrono::milliseconds(300);
+
+/// Time that a request has when its caller names no deadline.
+inline constexpr Duration DefaultTimeLeft = std::chrono::seconds(10);
+
 /// Pause between two rounds of target selection for one request.
 inline constexpr Duration SelectionRetryInterval =
     std::chrono::milliseconds(12);
--- a/Libraries/LibGateway/ProbeTokenBucket.h
+++ b/Libraries/LibGateway/ProbeTokenBucket.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Clock.h>
 
+#include <array>
 #include <cstddef>
 
 namespace comfreyrill {
@@ -32,6 +33,12 @@
   std::size_t Maximum = 0;
 };
 
+/// Probes for one request. The rounds end as soon as a target with a free slot
+/// and its usual speed is found. The first probe also verifies the connection
+/// before a request is put at risk on it.
+inline constexpr std::array<ProbeDemand, 2> ProbesByRound{
+    {{1, 3, 5}, {0, 5, 6}}};
+
 /// Takes tokens for probes from this host's bucket; returns their number.
 std::size_t acquireProbeTokens(ProbeTokenBucket &Bucket,
                                const ProbeRatePolicy &Policy,
--- a/Libraries/LibGateway/RouteTable.cpp
+++ b/Libraries/LibGateway/RouteTable.cpp
@@ -21,6 +21,13 @@
   return Host.substr(0, Host.find(':'));
 }
 
+double totalWeight(const Route &Selected) {
+  double Total = 0;
+  for (const WeightedService &Weighted : Selected.Services)
+    Total += std::max(Weighted.Weight, 0.0);
+  return Total;
+}
+
 } // namespace
 
 const Route *findRoute(const Configuration &Active, std::string_view Host,
@@ -38,10 +45,16 @@
   return Best;
 }
 
-const ServiceName *chooseService(const Route &Selected, Random &Generator) {
-  double Total = 0;
+std::vector<double> serviceShares(const Route &Selected) {
+  const double Total = totalWeight(Selected);
+  std::vector<double> Shares;
   for (const WeightedService &Weighted : Selected.Services)
-    Total += std::max(Weighted.Weight, 0.0);
+    Shares.push_back(Total > 0 ? std::max(Weighted.Weight, 0.0) / Total : 0);
+  return Shares;
+}
+
+const ServiceName *chooseService(const Route &Selected, Random &Generator) {
+  const double Total = totalWeight(Selected);
   if (Total <= 0)
     return nullptr;
   double Position = std::uniform_real_distribution<double>(0, Total)(Generator);
--- a/Libraries/LibGateway/RouteTable.h
+++ b/Libraries/LibGateway/RouteTable.h
@@ -13,6 +13,10 @@
 const Route *findRoute(const Configuration &Active, std::string_view Host,
                        std::string_view Path);
 
+/// Returns the shares of the services of a route, in the order of its services.
+/// All are 0 when no weight is positive.
+std::vector<double> serviceShares(const Route &Selected);
+
 /// Selects one of the services of a route at random, in proportion to their
 /// weights. Returns null when no weight is positive.
 const ServiceName *chooseService(const Route &Selected, Random &Generator);
--- a/Libraries/LibGateway/TargetSelection.cpp
+++ b/Libraries/LibGateway/TargetSelection.cpp
@@ -107,27 +107,35 @@
   return Factor * (1 + AheadInQueue / Slots);
 }
 
-std::vector<TargetCandidate>
-selectProbeCandidates(std::vector<TargetCandidate> Candidates,
-                      std::size_t Count, Random &Generator,
-                      const RemoteFactors &Factors) {
+std::vector<ProbeCost>
+probeCosts(const std::vector<TargetCandidate> &Candidates,
+           const RemoteFactors &Factors) {
+  std::vector<ProbeCost> Costs;
+  Costs.reserve(Candidates.size());
+  for (const TargetCandidate &Candidate : Candidates)
+    Costs.push_back(
+        {Candidate.IsSuspect,
+         cachedLatencyFactor(Candidate) *
+             probeLocalityFactor(Candidate, Factors) *
+             (Candidate.HasIdleConnection || Candidate.HasJoinedLately
+                  ? 1
+                  : NewConnectionProbeFactor)});
+  return Costs;
+}
+
+std::vector<std::size_t> rankProbes(const std::vector<ProbeCost> &Costs,
+                                    std::size_t Count, Random &Generator) {
   struct Ranked {
     std::tuple<bool, double> Order;
     std::size_t Index;
   };
   std::uniform_real_distribution<double> JitterFactor(1 - Jitter, 1 + Jitter);
   std::vector<Ranked> Ranking;
-  for (std::size_t Index = 0; Index < Candidates.size(); ++Index) {
-    const TargetCandidate &Candidate = Candidates[Index];
-    const double Cost =
-        cachedLatencyFactor(Candidate) *
-        probeLocalityFactor(Candidate, Factors) *
-        (Candidate.HasIdleConnection || Candidate.HasJoinedLately
-             ? 1
-             : NewConnectionProbeFactor) *
-        JitterFactor(Generator);
-    Ranking.push_back({{Candidate.IsSuspect, Cost}, Index});
-  }
+  Ranking.reserve(Costs.size());
+  for (std::size_t Index = 0; Index < Costs.size(); ++Index)
+    Ranking.push_back(
+        {{Costs[Index].IsSuspect, Costs[Index].Cost * JitterFactor(Generator)},
+         Index});
   const std::size_t SelectedCount = std::min(Count, Ranking.size());
   std::partial_sort(Ranking.begin(),
                     Ranking.begin() +
@@ -135,9 +143,20 @@
                     Ranking.end(), [](const Ranked &One, const Ranked &Other) {
                       return One.Order < Other.Order;
                     });
-  std::vector<TargetCandidate> Chosen;
+  std::vector<std::size_t> Chosen;
   for (std::size_t Index = 0; Index < SelectedCount; ++Index)
-    Chosen.push_back(std::move(Candidates[Ranking[Index].Index]));
+    Chosen.push_back(Ranking[Index].Index);
+  return Chosen;
+}
+
+std::vector<TargetCandidate>
+selectProbeCandidates(std::vector<TargetCandidate> Candidates,
+                      std::size_t Count, Random &Generator,
+                      const RemoteFactors &Factors) {
+  std::vector<TargetCandidate> Chosen;
+  for (const std::size_t Index :
+       rankProbes(probeCosts(Candidates, Factors), Count, Generator))
+    Chosen.push_back(std::move(Candidates[Index]));
   return Chosen;
 }
 
--- a/Libraries/LibGateway/TargetSelection.h
+++ b/Libraries/LibGateway/TargetSelection.h
@@ -75,6 +75,22 @@
 /// is queued there.
 bool hasFreeSlot(const LoadReport &Load);
 
+/// Cost by which the candidates for a probe are ranked, without its random
+/// part.
+struct ProbeCost {
+  bool IsSuspect = false;
+  double Cost = 1;
+};
+
+std::vector<ProbeCost>
+probeCosts(const std::vector<TargetCandidate> &Candidates,
+           const RemoteFactors &Factors);
+
+/// Returns the indices of at most Count candidates in the order in which they
+/// are probed.
+std::vector<std::size_t> rankProbes(const std::vector<ProbeCost> &Costs,
+                                    std::size_t Count, Random &Generator);
+
 /// Selects at most Count candidates to probe: suspect ones come last, then the
 /// lowest expected latency by the cached load report comes first, with a
 /// preference for the local failure domain. The weight of a report decreases
--- a/Libraries/LibPlaces/ColdTargets.cpp
+++ b/Libraries/LibPlaces/ColdTargets.cpp
@@ -12,6 +12,9 @@
 // Targets that were not in use for this time are forgotten. Longer than any
 // window of a share.
 constexpr Duration UseLifetime = std::chrono::minutes(2);
+// Shares of a cold target are counted in requests per second, so other hosts
+// have room for a request within that time.
+constexpr Duration ColdRoomElsewhere = std::chrono::seconds(1);
 
 void assign(const ColdTargetTable &Table, const TargetId &Target,
             ColdTargetUse &Use, TimePoint Since) {
@@ -26,6 +29,31 @@
     Use.SentAt.pop_front();
 }
 
+bool knowsDomain(const ColdTargetTable &Table, const FailureDomain &Domain,
+                 TimePoint Now) {
+  return Table.UpdatedAt && Now - *Table.UpdatedAt <= ViewLifetime &&
+         Domain == Table.Hosts.Domain;
+}
+
+ColdVerdict judgeUse(const ColdTargetTable &Table, const TargetId &Target,
+                     ColdTargetUse &Use, double RatePerSecond, TimePoint Now) {
+  Use.UsedAt = Now;
+  if (Use.RatePerSecond != RatePerSecond) {
+    const bool IsNew = Use.RatePerSecond == 0;
+    Use.RatePerSecond = RatePerSecond;
+    assign(Table, Target, Use, IsNew ? Table.HostsChangedAt : Now);
+  }
+  if (Use.Share.Requests == 0)
+    return {};
+  dropOld(Use, Now);
+  TimePoint RoomAt = std::max(Now, Use.AssignedSince + AssignmentDelay);
+  if (Use.SentAt.size() >= Use.Share.Requests)
+    RoomAt =
+        std::max(RoomAt, Use.SentAt[Use.SentAt.size() - Use.Share.Requests] +
+                             Use.Share.Window);
+  return {RoomAt <= Now, RoomAt};
+}
+
 } // namespace
 
 void updateHosts(ColdTargetTable &Table, const DomainHosts &Hosts,
@@ -50,25 +78,27 @@
 ColdVerdict judgeColdTarget(ColdTargetTable &Table, const TargetId &Target,
                             const FailureDomain &Domain, double RatePerSecond,
                             TimePoint Now) {
-  if (!Table.UpdatedAt || Now - *Table.UpdatedAt > ViewLifetime ||
-      Domain != Table.Hosts.Domain)
+  if (!knowsDomain(Table, Domain, Now))
     return {};
-  ColdTargetUse &Use = Table.Targets[Target];
-  Use.UsedAt = Now;
-  if (Use.RatePerSecond != RatePerSecond) {
-    const bool IsNew = Use.RatePerSecond == 0;
-    Use.RatePerSecond = RatePerSecond;
-    assign(Table, Target, Use, IsNew ? Table.HostsChangedAt : Now);
-  }
-  if (Use.Share.Requests == 0)
+  return judgeUse(Table, Target, Table.Targets[Target], RatePerSecond, Now);
+}
+
+ColdVerdict previewColdTarget(const ColdTargetTable &Table,
+                              const TargetId &Target,
+                              const FailureDomain &Domain, double RatePerSecond,
+                              TimePoint Now) {
+  if (!knowsDomain(Table, Domain, Now))
     return {};
-  dropOld(Use, Now);
-  TimePoint RoomAt = std::max(Now, Use.AssignedSince + AssignmentDelay);
-  if (Use.SentAt.size() >= Use.Share.Requests)
-    RoomAt =
-        std::max(RoomAt, Use.SentAt[Use.SentAt.size() - Use.Share.Requests] +
-                             Use.Share.Window);
-  return {RoomAt <= Now, RoomAt};
+  const auto Known = Table.Targets.find(Target);
+  ColdTargetUse Copy =
+      Known == Table.Targets.end() ? ColdTargetUse{} : Known->second;
+  return judgeUse(Table, Target, Copy, RatePerSecond, Now);
+}
+
+TimePoint coldRoomAt(const ColdVerdict &Verdict, TimePoint ColdUntil,
+                     TimePoint Now) {
+  return std::min(Verdict.RoomAt.value_or(Now + ColdRoomElsewhere),
+                  std::max(ColdUntil, Now));
 }
 
 void recordRequest(ColdTargetTable &Table, const TargetId &Target,
--- a/Libraries/LibPlaces/ColdTargets.h
+++ b/Libraries/LibPlaces/ColdTargets.h
@@ -53,6 +53,17 @@
                             const FailureDomain &Domain, double RatePerSecond,
                             TimePoint Now);
 
+/// Returns the verdict of judgeColdTarget without recording a use.
+ColdVerdict previewColdTarget(const ColdTargetTable &Table,
+                              const TargetId &Target,
+                              const FailureDomain &Domain, double RatePerSecond,
+                              TimePoint Now);
+
+/// Earliest time at which a cold target that is not admitted may get a request
+/// again, of this host or of another one.
+TimePoint coldRoomAt(const ColdVerdict &Verdict, TimePoint ColdUntil,
+                     TimePoint Now);
+
 /// Counts a request to a target, cold or not, whose service limits cold ones.
 void recordRequest(ColdTargetTable &Table, const TargetId &Target,
                    TimePoint Now);
--- a/Services/Gateway/GatewayState.cpp
+++ b/Services/Gateway/GatewayState.cpp
@@ -1,5 +1,6 @@
 #include "GatewayState.h"
 
+#include <LibGateway/CandidateListing.h>
 #include <LibGateway/RouteTable.h>
 
 #include <algorithm>
@@ -13,32 +14,14 @@
 // Limit on the share of ejected targets of a service. Above it, failures are
 // more likely caused by the requests or the network than by the targets.
 constexpr double EjectedShareMaximum = 0.5;
-// How long a target is reserved for requests that are safe to retry after its
-// ejection. Limited, because services without such requests must be able to use
-// the target again, too.
-constexpr Duration ProbationTime = std::chrono::seconds(2);
-// Numbers of targets of a service that a host prefers over the others of its
-// own failure domain and of the other ones. With hundreds of targets, a host
-// would send to each one so rarely that its connections would expire unused.
-constexpr double LocalSubsetSize = 24;
-constexpr double RemoteSubsetSize = 32;
 // Pauses that end first are forgotten above this number.
 constexpr std::size_t PausesMaximum = 4096;
 // A target that was idle for this long after its pause needs no gradual
 // resumption.
 constexpr Duration ResumptionTime = std::chrono::seconds(30);
-// Time for which a target counts as having joined lately. Hosts use it as often
-// as the others in that time, and then have connections to it.
-constexpr Duration JoiningTime = std::chrono::seconds(10);
-// Targets that are listed within this time after the first ones of their
-// service were registered before, and the host only learns of them.
-constexpr Duration LearningTime = std::chrono::seconds(3);
 // Other hosts are told again only of a cold time that differs by more, because
 // each probe of a cold target yields one.
 constexpr Duration ColdTimeTolerance = std::chrono::milliseconds(500);
-// Shares of a cold target are counted in requests per second, so other hosts
-// have room for a request within that time.
-constexpr Duration ColdRoomElsewhere = std::chrono::seconds(1);
 
 std::string_view signalSourceName(SignalSource Source) {
   switch (Source) {
@@ -59,11 +42,6 @@
           .count());
 }
 
-bool isOnProbation(const OutlierState &State, TimePoint Now) {
-  return State.Ejections > 0 && State.Successes == 0 && !State.Ejected &&
-         Now - State.EjectedUntil < ProbationTime;
-}
-
 } // namespace
 
 GatewayState::GatewayState(const Clock &TimeSource, Random &Generator,
@@ -246,7 +224,6 @@
   CandidateList Listed;
   std::vector<TargetCandidate> &Found = Listed.Targets;
   std::vector<double> Preferences;
-  std::size_t RemoteCount = 0;
   const double ColdRate = coldRate(Service);
   std::optional<TimePoint> &FirstListing =
       StatsByService[Service].FirstListedAt;
@@ -256,8 +233,7 @@
   auto Paused = Pauses.begin();
   for (const auto &[Id, Known] : Directory.Targets) {
     const TargetRegistration &Registered = Known.Registration;
-    if (Registered.Service != Service || !isUsable(Known, Now) ||
-        isEvacuated(Evacuations, Registered.Domain))
+    if (Registered.Service != Service)
       continue;
     TargetStats &Stats = StatsByTarget[Id];
     const std::uint64_t Started = Registered.StartedAtMilliseconds;
@@ -265,20 +241,23 @@
            std::tie(Paused->first.Id, Paused->first.StartedAtMilliseconds) <
                std::tie(Id, Started))
       ++Paused;
-    if (Paused != Pauses.end() && Paused->first.Id == Id &&
-        Paused->first.StartedAtMilliseconds == Started &&
-        !admitsRequest(Paused->second.Pause, Stats.InFlight, Now)) {
-      const TimePoint End = Paused->second.Pause.EndsAt;
+    const bool HasPause = Paused != Pauses.end() && Paused->first.Id == Id &&
+                          Paused->first.StartedAtMilliseconds == Started;
+    const TargetFacts Facts{Known, isEvacuated(Evacuations, Registered.Domain),
+                            HasPause ? &Paused->second.Pause : nullptr,
+                            Stats.InFlight};
+    const TargetExclusion Exclusion = findExclusion(Facts, Now);
+    if (Exclusion == TargetExclusion::Paused) {
+      const TimePoint End = Facts.Pause->EndsAt;
       if (!Listed.EarliestPauseEnd || End < *Listed.EarliestPauseEnd)
         Listed.EarliestPauseEnd = End;
-      continue;
     }
+    if (Exclusion != TargetExclusion::None)
+      continue;
     if (ColdRate > 0 && Now < Known.ColdUntil) {
       const ColdVerdict Verdict =
           judgeColdTarget(Cold, Id, Registered.Domain, ColdRate, Now);
-      const TimePoint Room =
-          std::min(Verdict.RoomAt.value_or(Now + ColdRoomElsewhere),
-                   std::max(Known.ColdUntil, Now));
+      const TimePoint Room = coldRoomAt(Verdict, Known.ColdUntil, Now);
       if (!Verdict.IsAdmitted &&
           (!Listed.EarliestColdRoom || Room < *Listed.EarliestColdRoom))
         Listed.EarliestColdRoom = Room;
@@ -287,28 +266,17 @@
     }
     if (!Stats.FirstListedAt)
       Stats.FirstListedAt = Now;
-    const bool HasJoinedLately =
-        *Stats.FirstListedAt - ServiceListedAt > LearningTime &&
-        Now - *Stats.FirstListedAt < JoiningTime;
     endEjection(Stats.Outlier, Now);
     if (!Stats.Preference)
       Stats.Preference = UnitInterval(Generator);
     Preferences.push_back(*Stats.Preference);
-    const bool IsInLocalDomain = Registered.Domain == HostDomain;
-    RemoteCount += IsInLocalDomain ? 0 : 1;
-    Found.push_back({Id, IsInLocalDomain, true, Now < Known.ColdUntil,
-                     Stats.Outlier.Ejected || Known.GraceEndsAt.has_value(),
-                     isOnProbation(Stats.Outlier, Now), Stats.Load,
-                     Now - Stats.LoadObservedAt, Stats.InFlight, Started, true,
-                     HasJoinedLately});
+    Found.push_back(
+        makeCandidate(Facts,
+                      {Stats.Outlier, Stats.Load, Stats.LoadObservedAt,
+                       *Stats.FirstListedAt, ServiceListedAt},
+                      HostDomain, Now));
   }
-  const auto LocalCount = static_cast<double>(Found.size() - RemoteCount);
-  for (std::size_t Index = 0; Index < Found.size(); ++Index)
-    Found[Index].IsInPreferredSubset =
-        Found[Index].IsInLocalDomain
-            ? Preferences[Index] * LocalCount < LocalSubsetSize
-            : Preferences[Index] * static_cast<double>(RemoteCount) <
-                  RemoteSubsetSize;
+  markPreferredSubsets(Found, Preferences);
   return Listed;
 }
 
--- a/Services/Gateway/RequestExecution.cpp
+++ b/Services/Gateway/RequestExecution.cpp
@@ -1,29 +1,22 @@
 #include "RequestExecution.h"
 
+#include <LibGateway/CandidateListing.h>
 #include <LibGateway/PauseWait.h>
+#include <LibGateway/RefusalDecision.h>
 #include <LibGateway/RouteTable.h>
 #include <LibQuarantine/Fingerprint.h>
 #include <platform/HttpCodec.h>
 
 #include <algorithm>
-#include <array>
 
 namespace comfreyrill {
 
 namespace {
 
-// Probes for one request. The rounds end as soon as a target with a free slot
-// and its usual speed is found. The first probe also verifies the connection
-// before a request is put at risk on it.
-constexpr std::array<ProbeDemand, 2> ProbesByRound{{{1, 3, 5}, {0, 5, 6}}};
-// A host gets a configuration within a second of reaching the store.
-constexpr Duration RetryWithoutConfiguration = std::chrono::milliseconds(300);
 constexpr std::uint64_t AnswerBytesMaximum = std::uint64_t{8} * 1024 * 1024;
 // Interval at which a request that is held for a pause looks for other targets,
 // which may have registered meanwhile.
 constexpr Duration HeldCheckInterval = std::chrono::milliseconds(200);
-// Used when the request has no deadline of the caller.
-constexpr Duration DefaultTimeLeft = std::chrono::seconds(10);
 
 HttpLimits answerLimits() {
   HttpLimits Limits;
@@ -204,9 +197,6 @@
     asio::co_spawn(Dependencies.Context, std::move(Recorded), asio::detached);
 }
 
-// The caller comes back as a new request, which may use the targets that this
-// one has tried. It must wait for a pause only if all targets are paused,
-// whatever has ended this request.
 HttpResponse RequestExecution::refuseNotRun() {
   if (HoldsToken && Dependencies.ReturnToken)
     Dependencies.ReturnToken(Account->Name);
@@ -217,38 +207,24 @@
                   QuarantineLeft);
   const CandidateList Listed =
       Dependencies.CurrentState.candidates(Service, Dependencies.HostDomain);
-  const bool AreAllPaused =
-      Listed.Targets.empty() && Listed.EarliestPauseEnd.has_value();
   const TimePoint Now = Dependencies.TimeSource.now();
-  if (Listed.Targets.empty() && Listed.EarliestColdRoom && !AreAllPaused) {
-    Refusal = RefusalCause::Cold;
-    return refuse(http::status::service_unavailable,
-                  HasCallerLeft ? "caller_left" : refusalCauseName(Refusal),
-                  retryAfterPause(*Listed.EarliestColdRoom - Now, workTime(),
-                                  Dependencies.Generator));
-  }
-  if (AreAllPaused)
-    Refusal = RefusalCause::Paused;
-  else if (Refusal == RefusalCause::Paused)
-    Refusal = RefusalCause::NoTarget;
-  const Duration RetryAfter =
-      AreAllPaused ? retryAfterPause(*Listed.EarliestPauseEnd -
-                                         Dependencies.TimeSource.now(),
-                                     workTime(), Dependencies.Generator)
-                   : retryAfterRefusal();
+  RefusalInput Input;
+  Input.Cause = Refusal;
+  Input.HasCandidates = !Listed.Targets.empty();
+  if (Listed.EarliestPauseEnd)
+    Input.UntilPauseEnd = *Listed.EarliestPauseEnd - Now;
+  if (Listed.EarliestColdRoom)
+    Input.UntilColdRoom = *Listed.EarliestColdRoom - Now;
+  Input.ExpectedTime = workTime();
+  Input.TimeLeft = Deadline - Now;
+  Input.ComesBack = !HasCallerLeft;
+  const auto Decided = decideRefusal(
+      Input, Dependencies.CurrentState.serviceStats(Service).Returns, Now,
+      Dependencies.Generator);
+  Refusal = Decided.Cause;
   return refuse(http::status::service_unavailable,
                 HasCallerLeft ? "caller_left" : refusalCauseName(Refusal),
-                RetryAfter);
-}
-
-Duration RequestExecution::retryAfterRefusal() {
-  const TimePoint Now = Dependencies.TimeSource.now();
-  if (Refusal == RefusalCause::Overloaded && !HasCallerLeft)
-    return scheduleReturn(
-        Dependencies.CurrentState.serviceStats(Service).Returns,
-        {workTime(), Deadline - Now}, Now, Dependencies.Generator);
-  return std::min(retryAfter(Refusal, workTime(), Dependencies.Generator),
-                  honouredRetryAfter(Deadline - Now));
+                Decided.RetryAfter);
 }
 
 bool RequestExecution::mayBeginAttempt() {
@@ -267,9 +243,7 @@
   CandidateList Listed =
       Dependencies.CurrentState.candidates(Service, Dependencies.HostDomain);
   std::vector<TargetCandidate> &Candidates = Listed.Targets;
-  if (SelectedRoute->Semantics == ExecutionSemantics::AtMostOnce)
-    for (TargetCandidate &Candidate : Candidates)
-      Candidate.IsSuspect = Candidate.IsSuspect || Candidate.IsOnProbation;
+  applySemantics(Candidates, SelectedRoute->Semantics);
   std::erase_if(Candidates, [&](const TargetCandidate &Candidate) {
     return TriedTargets.contains(Candidate.Id);
   });
--- a/Services/Gateway/RequestExecution.h
+++ b/Services/Gateway/RequestExecution.h
@@ -88,8 +88,6 @@
                                  TargetProcess Process, Endpoint Address);
   /// Returns the refusal of a request that no attempt may have run.
   HttpResponse refuseNotRun();
-  /// Returns the Retry-After of a refusal while not all targets are paused.
-  Duration retryAfterRefusal();
   HttpResponse answerFor(AttemptReport Last);
   HttpResponse refuse(http::status Status, std::string_view Reason,
                       std::optional<Duration> RetryAfter);
--- a/Tests/LibPlaces/TestColdTargets.cpp
+++ b/Tests/LibPlaces/TestColdTargets.cpp
@@ -187,5 +187,16 @@
                    .IsAdmitted);
 }
 
+// Guards against a preview that differs from the verdict or records a use.
+TEST_F(ColdTargetsTest, PreviewGivesTheVerdictAndRecordsNothing) {
+  run(5s, hosts(0, 1));
+  EXPECT_TRUE(previewColdTarget(Table, Target, West, Rate, Now).IsAdmitted);
+  EXPECT_TRUE(Table.Targets.empty());
+  EXPECT_GT(send(), 0);
+  const ColdVerdict Full = previewColdTarget(Table, Target, West, Rate, Now);
+  EXPECT_FALSE(Full.IsAdmitted);
+  EXPECT_EQ(Full.RoomAt, judge().RoomAt);
+}
+
 } // namespace
 } // namespace comfreyrill
