Gateway: Preview tokens and the choice of the domain without effects

Cause: taking a token, choosing a domain and counting demand change the state of a host, which an explanation must not do. Change: previewToken decides on a copy of the allotments, DomainRouting::preview on a copy of the recent costs and with another generator; restrict is const; GatewayState gives const access to statistics, pauses and cold targets.

--- a/Services/Gateway/AllotmentExchange.h
+++ b/Services/Gateway/AllotmentExchange.h
@@ -2,7 +2,7 @@
 
 #include "GatewayDependencies.h"
 
-#include <LibAccount/Allotments.h>
+#include <LibAccount/TokenPreview.h>
 #include <LibMembership/DomainTable.h>
 #include <LibMembership/MemberTable.h>
 #include <LibPeer/PeerMesh.h>
@@ -27,6 +27,11 @@
   /// Takes at most about 90 ms.
   Awaitable<std::optional<Duration>> acquire(const ClientAccount &Holder);
 
+  /// Returns what acquire() would find, without taking or requesting tokens.
+  TokenPreview preview(const ClientAccount &Holder, Random &Other) const {
+    return previewToken(State, Holder, Other, Dependencies.TimeSource.now());
+  }
+
   /// Returns the token of a request that was then rejected for another reason
   /// and has not run.
   void giveBack(const AccountName &Account);
--- a/Services/Gateway/DomainRouting.cpp
+++ b/Services/Gateway/DomainRouting.cpp
@@ -163,17 +163,44 @@
                           Dependencies.Generator);
 }
 
+RequestChoice DomainRouting::preview(const ServiceName &Service,
+                                     const Route &Matched,
+                                     std::size_t RequestBytes,
+                                     Random &Other) const {
+  LeavingRequest Request;
+  Request.Bytes = static_cast<double>(RequestBytes);
+  Request.LatencyObjective = Matched.LatencyObjective;
+  const auto Entry = Services.find(Service);
+  if (Entry == Services.end()) {
+    RecentCosts None;
+    return chooseForRequest({}, None, Request, BytePrice, Other);
+  }
+  const auto ResponseBytes =
+      Entry->second.ResponseBytesByRoute.find(Matched.Name);
+  if (ResponseBytes != Entry->second.ResponseBytesByRoute.end())
+    Request.Bytes += ResponseBytes->second;
+  RecentCosts Copy = Entry->second.Recent;
+  return chooseForRequest(Entry->second.State, Copy, Request, BytePrice, Other);
+}
+
+const DomainChoiceState *
+DomainRouting::state(const ServiceName &Service) const {
+  const auto Entry = Services.find(Service);
+  return Entry == Services.end() ? nullptr : &Entry->second.State;
+}
+
 void DomainRouting::restrict(const ServiceName &Service,
                              const RequestChoice &Choice,
-                             std::vector<TargetCandidate> &Candidates) {
-  const DomainChoiceState &State = Services[Service].State;
+                             std::vector<TargetCandidate> &Candidates) const {
+  const DomainChoiceState *State = state(Service);
   const bool HasLocal = std::any_of(
       Candidates.begin(), Candidates.end(), [](const TargetCandidate &Target) {
         return Target.IsInLocalDomain && !Target.IsSuspect;
       });
   // A request that stays and has no local target left is better served
   // elsewhere than rejected, unless that is known to be in vain.
-  const bool IsKnownInVain = State.IsOwnLost && !State.Allowances.empty();
+  const bool IsKnownInVain =
+      State != nullptr && State->IsOwnLost && !State->Allowances.empty();
   if (!Choice.Destination && !HasLocal && !IsKnownInVain)
     return;
   std::erase_if(Candidates, [&](const TargetCandidate &Target) {
--- a/Services/Gateway/DomainRouting.h
+++ b/Services/Gateway/DomainRouting.h
@@ -34,9 +34,17 @@
   /// Counts a request that has been received and decides whether it may leave.
   RequestChoice choose(const ServiceName &Service, const Route &Matched,
                        std::size_t RequestBytes, Duration Waited);
+  /// Returns what choose() would decide, without counting a request and with
+  /// random numbers of another generator. A service without requests so far
+  /// counts as one whose requests stay.
+  RequestChoice preview(const ServiceName &Service, const Route &Matched,
+                        std::size_t RequestBytes, Random &Other) const;
   /// Removes the candidates that the request may not use.
   void restrict(const ServiceName &Service, const RequestChoice &Choice,
-                std::vector<TargetCandidate> &Candidates);
+                std::vector<TargetCandidate> &Candidates) const;
+  /// Returns the decision in force, or null for a service without requests so
+  /// far.
+  const DomainChoiceState *state(const ServiceName &Service) const;
   /// Counts requests that wait for a slot.
   void beginWait(const ServiceName &Service);
   void endWait(const ServiceName &Service);
--- a/Services/Gateway/GatewayState.h
+++ b/Services/Gateway/GatewayState.h
@@ -211,6 +211,17 @@
   ServiceStats &serviceStats(const ServiceName &Name) {
     return StatsByService[Name];
   }
+  /// Null before the first use of the target or service.
+  const TargetStats *findTargetStats(const TargetId &Id) const {
+    const auto Found = StatsByTarget.find(Id);
+    return Found == StatsByTarget.end() ? nullptr : &Found->second;
+  }
+  const ServiceStats *findServiceStats(const ServiceName &Name) const {
+    const auto Found = StatsByService.find(Name);
+    return Found == StatsByService.end() ? nullptr : &Found->second;
+  }
+  const std::map<TargetProcess, KnownPause> &pauses() const { return Pauses; }
+  const ColdTargetTable &coldTargets() const { return Cold; }
   /// Records a load report that this host has just received from the target.
   void recordLoad(const TargetId &Id, const LoadReport &Load);
   /// Records a load report from another host unless a newer one is known.
--- a/Tests/LibAccount/TestAllotments.cpp
+++ b/Tests/LibAccount/TestAllotments.cpp
@@ -1,4 +1,4 @@
-#include <LibAccount/Allotments.h>
+#include <LibAccount/TokenPreview.h>
 
 #include <gtest/gtest.h>
 
@@ -168,5 +168,29 @@
   EXPECT_EQ(State.Buckets.size(), 1U);
 }
 
+// Guards against tokens that are spent by a preview, and against one that
+// differs from the decision for a request.
+TEST_F(AllotmentsTest, PreviewTakesNothing) {
+  for (int Count = 0; Count < 50; ++Count)
+    EXPECT_EQ(previewToken(State, Own, Generator, Now).Decision.Step,
+              TokenStep::Taken);
+  EXPECT_TRUE(State.Buckets.empty() && State.Leases.empty());
+  TokenPreview Preview = previewToken(State, Other, Generator, Now);
+  EXPECT_EQ(Preview.Decision.Step, TokenStep::Ask);
+  EXPECT_TRUE(Preview.Owner && !Preview.IsOwnerSelf);
+  TokenLease &Lease = beginAcquire(State, Other.Name, Now);
+  addTokens(Lease, 3, TokenLifetime, Now, Now);
+  Preview = previewToken(State, Other, Generator, Now);
+  EXPECT_EQ(Preview.Decision.Step, TokenStep::Taken);
+  EXPECT_EQ(Preview.Held, 3);
+  EXPECT_EQ(heldTokens(Lease), 3);
+  const TimePoint Later = Now + TokenLifetime;
+  Lease.RefusedUntil = Later + 400ms;
+  Preview = previewToken(State, Other, Generator, Later);
+  EXPECT_EQ(Preview.Decision.Step, TokenStep::Refused);
+  EXPECT_EQ(Preview.Held, 0);
+  EXPECT_EQ(Preview.RefusedFor, 400ms);
+}
+
 } // namespace
 } // namespace comfreyrill
