Gateway: Answer POST /explain on the metrics listener

Cause: the state that decides about a request is on the hosts. Change: RequestExplainer collects the input from the state without changing it, ExplainEndpoint answers one request at a time, of at most 4 KiB of header and 12 KiB of body, which now also bound the requests for metrics. Messages about faults name fields and no values, which may be a key.

--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -1,7 +1,9 @@
 #include "Gateway.h"
 
+#include "ExplainEndpoint.h"
 #include "MetricsListener.h"
 #include "RequestExecution.h"
+#include "RequestExplainer.h"
 
 #include <LibGateway/RouteTable.h>
 #include <LibMembership/StoreRole.h>
@@ -240,11 +242,26 @@
       .field("failure_domain", Configured.Domain.Value)
       .field("caller_address", formatEndpoint(Callers->localEndpoint()));
   Dependencies->Events.writeAlways(LogLevel::Info, Line);
+  TRY(const auto Quotas,
+      Registry.find<AllotmentExchange>("allotment_exchange"));
+  const auto Explainer = std::make_shared<RequestExplainer>(
+      *Dependencies, Quotas.get(), Configured.Host, systemRandom());
+  const auto Explanations = std::make_shared<ExplainEndpoint>(
+      [Explainer](const ExplainedRequest &Request) {
+        return Explainer->explain(Request);
+      });
+  HttpLimits MetricsLimits = SmallListenerLimits;
+  MetricsLimits.HeaderBytes = ExplainHeaderBytes;
+  MetricsLimits.BodyBytes = ExplainBodyBytes;
   const auto MetricsServer = std::make_shared<MetricsListener>(
       Context, TimeSource, Dependencies->Events,
-      [this](HttpRequest, std::shared_ptr<Disconnect>)
-          -> Awaitable<HttpResponse> { co_return handleMetrics(); },
-      replyToMalformedRequest, SmallListenerLimits, MetricsRetryInterval);
+      [this, Explanations](HttpRequest Request, std::shared_ptr<Disconnect>)
+          -> Awaitable<HttpResponse> {
+        if (isExplainRequest(Request))
+          co_return co_await Explanations->handle(std::move(Request));
+        co_return handleMetrics();
+      },
+      replyToMalformedRequest, MetricsLimits, MetricsRetryInterval);
   MetricsServer->setAddress(Configured.MetricsAddress);
   return Registry.add("metrics_listener", MetricsServer);
 }
--- a/Tests/Gateway/TestRequestExecution.cpp
+++ b/Tests/Gateway/TestRequestExecution.cpp
@@ -2,6 +2,7 @@
 #include "EndlessTarget.h"
 
 #include <RequestExecution.h>
+#include <RequestExplainer.h>
 
 #include <gtest/gtest.h>
 
@@ -1368,5 +1369,43 @@
   EXPECT_EQ(Cold.Probes, 1);
 }
 
+// Guards against an explanation that passes over the target of the next
+// request, and against one that names all targets.
+TEST_F(RequestExecutionTest, ExplanationNamesTheTargetOfTheNextRequest) {
+  configure(ExecutionSemantics::Idempotent);
+  for (int Count = 0; Count < 20; ++Count)
+    addTarget(answerWhole, Count < 12 ? "west" : "east");
+  RequestExplainer Explainer(Dependencies, nullptr, HostId("h"), Random(7));
+  ExplainedRequest Next;
+  Next.Host = "a.example";
+  Next.Path = "/x/1";
+  int Named = 0;
+  std::size_t Reported = 0;
+  for (int Count = 0; Count < 100; ++Count) {
+    const Explanation Explained = Explainer.explain(Next);
+    ASSERT_TRUE(Explained.Selection);
+    const auto &Probed = Explained.Selection->ProbedFirst;
+    Reported += Probed.size();
+    std::vector<int> Before;
+    for (const auto &Target : Targets)
+      Before.push_back(Target->Runs);
+    Answer.reset();
+    begin("/x/1", "r-" + std::to_string(Count));
+    EXPECT_EQ(finish().result(), http::status::ok);
+    for (std::size_t Index = 0; Index < Targets.size(); ++Index)
+      Named += Targets[Index]->Runs > Before[Index] &&
+                       std::any_of(Probed.begin(), Probed.end(),
+                                   [&](const TargetShare &Entry) {
+                                     return Entry.Id ==
+                                            TargetId("i-" +
+                                                     std::to_string(Index + 1));
+                                   })
+                   ? 1
+                   : 0;
+  }
+  EXPECT_GE(Named, 95);
+  EXPECT_LT(Reported, 100 * Targets.size() * 3 / 4);
+}
+
 } // namespace
 } // namespace comfreyrill
