Client: Show where a request would be sent and why

Cause: the explanation of a host is JSON, and scripts need to tell its errors apart. An unknown key or account has the new exit code 8. The key comes from standard input only.

--- a/Tests/Client/ClientFixture.h
+++ b/Tests/Client/ClientFixture.h
@@ -31,12 +31,14 @@
   /// Response bodies by path without the query. Other paths get status 404.
   std::map<std::string, std::string> ResponseBodies;
   std::vector<std::string> Requests;
+  std::string LastBody;
   std::function<void()> BeforeCall;
 
 private:
   Awaitable<HttpResponse> handle(HttpRequest Request) {
     const std::string Target(Request.target());
     Requests.push_back(std::string(Request.method_string()) + " " + Target);
+    LastBody = Request.body();
     if (BeforeCall)
       BeforeCall();
     const auto Match = ResponseBodies.find(Target.substr(0, Target.find('?')));
@@ -132,7 +134,8 @@
         Client,
         [this](std::string_view Text) { Output += Text; },
         [this](std::string_view Text) { ErrorOutput += Text; },
-        TimeSource.now() + Options.Timeout};
+        TimeSource.now() + Options.Timeout,
+        [this] { return Input; }};
     return runToEnd(Context, runCommand(CommandContext));
   }
 
@@ -142,6 +145,7 @@
   FakePlatform Platform;
   FakeHost Host;
   Arguments Options;
+  std::string Input;
   std::string Output;
   std::string ErrorOutput;
 };
--- a/Utilities/Client/Arguments.cpp
+++ b/Utilities/Client/Arguments.cpp
@@ -22,7 +22,7 @@
     {"fetch", Command::Fetch},     {"status", Command::Status},
     {"targets", Command::Targets}, {"hosts", Command::Hosts},
     {"drain", Command::Drain},     {"log", Command::Log},
-    {"version", Command::Version}};
+    {"explain", Command::Explain}, {"version", Command::Version}};
 
 Error usageError(const std::string &Message) {
   return {ErrorKind::InvalidInput, Message + "; see comfreyrill --help"};
@@ -53,6 +53,22 @@
   return Value.isString() ? Value.asString() : "";
 }
 
+Result<ExplainOptions> parseExplain(const ValueMap &Values) {
+  ExplainOptions Out;
+  TRY(Out.Gateway, parseEndpoint(stringValue(Values, "--gateway")));
+  Out.Method = stringValue(Values, "--method");
+  Out.Host = Values.at("--host").asStringList().front();
+  Out.Path = stringValue(Values, "--path");
+  if (!Out.Path.starts_with('/'))
+    return usageError("--path takes a path that begins with a slash, not '" +
+                      Out.Path + "'");
+  TRY(Out.BodyBytes,
+      parseNumber("--body-bytes", stringValue(Values, "--body-bytes")));
+  Out.Account = stringValue(Values, "--account");
+  Out.ReadsKey = Values.at("--key-from-stdin").asBool();
+  return Out;
+}
+
 } // namespace
 
 const std::string &usageText() {
@@ -67,6 +83,7 @@
   comfreyrill hosts [--json] [--platform=ADDRESS]... [--host=ADDRESS]... [--timeout-ms=MS]
   comfreyrill drain [--json] [--platform=ADDRESS]... [--host=ADDRESS]... [--timeout-ms=MS] HOST
   comfreyrill log [--json] [--platform=ADDRESS]... [--host=ADDRESS]... [--timeout-ms=MS] [--follow] HOST
+  comfreyrill explain --gateway=ADDRESS --method=METHOD --host=NAME --path=PATH [--body-bytes=N] [--account=NAME | --key-from-stdin] [--json]
   comfreyrill version [--json]
   comfreyrill --help
 
@@ -79,6 +96,8 @@
   hosts    Show the entry hosts and their addresses.
   drain    Let a host finish its calls and exit.
   log      Print the decision log of a host.
+  explain  Show where a host would send a request now, and why, without
+           sending it.
   version  Print the version of this client.
 
 HOST is the name of a host, or ip:port of its admin listener.
@@ -87,17 +106,23 @@
   --platform=ADDRESS  ip:port of the platform; may be given more than once.
   --host=ADDRESS      ip:port of a host's admin listener; may be given more
                       than once. Read-only commands need one when the platform
-                      is down.
+                      is down. For explain, the Host header of the request.
   --based-on=N        Number of the manifest that the change was made from;
                       0 for none. Default: what is in force at the start.
   --wait              Wait until all hosts have the manifest in force.
   --timeout-ms=MS     Longest time for the command [default: 10000].
   --follow            Go on with new lines until interrupted.
+  --gateway=ADDRESS   ip:port of the metrics listener of the host that explains.
+  --method=METHOD     Method of the request, such as GET.
+  --path=PATH         Path of the request, from its first slash on.
+  --body-bytes=N      Size of the request's body [default: 0].
+  --account=NAME      Client account that sends the request.
+  --key-from-stdin    Read the key of the request from standard input.
   --json              Write JSON.
   -h --help           Show this text.
 
 Exit codes: 0 done, 1 usage, 2 invalid input, 3 conflict, 4 unavailable,
-5 outcome unknown, 6 late hosts, 7 not found.
+5 outcome unknown, 6 late hosts, 7 not found, 8 unknown key or account.
 )";
   return Text;
 }
@@ -123,6 +148,10 @@
   Out.Follow = Values.at("--follow").asBool();
   Out.Json = Values.at("--json").asBool();
   TRY(Out.Platforms, parseEndpoints(Values, "--platform"));
+  if (Out.Name == Command::Explain) {
+    TRY(Out.Explain, parseExplain(Values));
+    return Out;
+  }
   TRY(Out.Hosts, parseEndpoints(Values, "--host"));
   if (Values.at("--based-on")) {
     TRY(const std::uint64_t Number,
--- a/Utilities/Client/Arguments.h
+++ b/Utilities/Client/Arguments.h
@@ -20,10 +20,24 @@
   Hosts,
   Drain,
   Log,
+  Explain,
   Version,
   Help,
 };
 
+/// The request that explain describes, and the host that explains it.
+struct ExplainOptions {
+  /// Metrics address of the host.
+  Endpoint Gateway;
+  std::string Method;
+  std::string Host;
+  std::string Path;
+  std::uint64_t BodyBytes = 0;
+  /// Name of an account; empty without one.
+  std::string Account;
+  bool ReadsKey = false;
+};
+
 /// Parsed command line.
 struct Arguments {
   Command Name = Command::Help;
@@ -33,6 +47,7 @@
   std::string Host;
   std::vector<Endpoint> Platforms;
   std::vector<Endpoint> Hosts;
+  ExplainOptions Explain;
   /// The manifest number that a change was made from; unset for the number in
   /// force when the command starts.
   std::optional<ManifestNumber> BasedOn;
--- a/Utilities/Client/Commands.cpp
+++ b/Utilities/Client/Commands.cpp
@@ -1,6 +1,8 @@
 #include <Client/Commands.h>
 
 #include <Client/Apply.h>
+#include <Client/ErrorReport.h>
+#include <Client/Explain.h>
 #include <Client/HostClient.h>
 #include <Client/Table.h>
 #include <LibJson/JsonReader.h>
@@ -24,16 +26,6 @@
 // on the platform and on hosts.
 constexpr std::int64_t FollowWaitMs = 20'000;
 
-ExitCode reportError(ClientContext &Context, const Error &Cause) {
-  if (Context.Options.Json)
-    Context.PrintError(prettyJson(
-        json::object{{"error", std::string(errorKindName(Cause.Kind))},
-                     {"message", Cause.Message}}));
-  else
-    Context.PrintError(Cause.Message + "\n");
-  return exitCodeOf(Cause.Kind);
-}
-
 Result<Manifest> readManifestFile(const std::string &Path) {
   std::ifstream File(Path, std::ios::binary);
   if (!File)
@@ -320,6 +312,8 @@
     co_return co_await drainHost(Context);
   case Command::Log:
     co_return co_await printLog(Context);
+  case Command::Explain:
+    co_return co_await explainRequest(Context);
   case Command::Version:
     printVersion(Context);
     co_return ExitCode::Done;
--- a/Utilities/Client/ExitCode.h
+++ b/Utilities/Client/ExitCode.h
@@ -14,6 +14,7 @@
   OutcomeUnknown = 5,
   LateHosts = 6,
   NotFound = 7,
+  UnknownAccount = 8,
 };
 
 /// The exit code of an error that ends a command.
--- a/Utilities/Client/FleetView.h
+++ b/Utilities/Client/FleetView.h
@@ -21,6 +21,8 @@
   std::function<void(std::string_view Text)> PrintError;
   /// Deadline of the command.
   TimePoint Deadline;
+  /// Returns the first line of standard input, without its end.
+  std::function<std::string()> ReadLine = {};
 };
 
 /// The hosts known to one source, which is a host or the platform's report.
--- a/Utilities/Client/Main.cpp
+++ b/Utilities/Client/Main.cpp
@@ -25,7 +25,12 @@
       Platform,
       [](std::string_view Text) { std::cout << Text << std::flush; },
       [](std::string_view Text) { std::cerr << Text; },
-      TimeSource.now() + Options.Timeout};
+      TimeSource.now() + Options.Timeout,
+      [] {
+        std::string Line;
+        std::getline(std::cin, Line);
+        return Line;
+      }};
   ExitCode Code = ExitCode::Unavailable;
   asio::co_spawn(
       Context,
