Tests/Gateway: Ask a gateway process for explanations

Cause: no test covered the wiring of POST /explain to the metrics listener of a process, nor a host that drains. Change: one test against a process with a store and a target, before and during its drain.

--- a/Tests/Gateway/GatewayProcess.h
+++ b/Tests/Gateway/GatewayProcess.h
@@ -73,11 +73,10 @@
   void signal(int Number) const { ::kill(Child, Number); }
 
   /// Returns the address for callers, which the start line of the log names.
-  Endpoint callers() const {
-    const std::string_view Field = "caller_address=";
-    const auto Begin = Written.find(Field) + Field.size();
-    const auto End = Written.find_first_of(" \n", Begin);
-    return parseEndpoint(Written.substr(Begin, End - Begin)).value();
+  Endpoint callers() const { return addressAfter("caller_address="); }
+  /// Returns the address for metrics, if the settings name one.
+  Endpoint metrics() const {
+    return addressAfter("event=metrics_available address=");
   }
 
   /// Waits until the process has written this text to its log, and calls
@@ -97,6 +96,12 @@
   bool hasEnded() { return !readLog(); }
 
 private:
+  Endpoint addressAfter(std::string_view Field) const {
+    const auto Begin = Written.find(Field) + Field.size();
+    const auto End = Written.find_first_of(" \n", Begin);
+    return parseEndpoint(Written.substr(Begin, End - Begin)).value();
+  }
+
   /// Returns false at the end of the log.
   bool readLog() {
     constexpr int WaitMilliseconds = 5;
--- a/Tests/Gateway/TestGatewayDrain.cpp
+++ b/Tests/Gateway/TestGatewayDrain.cpp
@@ -1,5 +1,6 @@
 #include "GatewayProcess.h"
 
+#include <LibHttp/HttpClient.h>
 #include <LibHttp/HttpServer.h>
 #include <Soak/ObjectStoreStandIn.h>
 
@@ -41,6 +42,7 @@
                   {"born", 1771918829000}});
     auto Settings = gatewaySettings(Store.endpoint());
     Settings["stop_time_s"] = std::chrono::duration<double>(StopTime).count();
+    Settings["metrics_address"] = "127.0.0.1:0";
     Process.emplace(Settings);
     EXPECT_TRUE(Process->waitForLog(
         "event=ready", [&] { Loop.run_for(std::chrono::milliseconds(5)); }));
@@ -100,6 +102,22 @@
     Request.IsDone = true;
   }
 
+  /// Returns the response of the host to a request to explain.
+  boost::json::value explain() {
+    HttpRequest Request(http::verb::post, "/explain", 11);
+    Request.body() = R"({"method":"POST","host":"a.example","path":"/book/1"})";
+    std::optional<Result<HttpResponse>> Received;
+    asio::co_spawn(
+        Loop,
+        [&]() -> Awaitable<void> {
+          Received = co_await fetch(Process->metrics(), Request, HttpLimits{},
+                                    TimeSource.now() + StopTime);
+        },
+        asio::detached);
+    EXPECT_TRUE(runUntil([&] { return Received.has_value(); }));
+    return boost::json::parse(Received->value().body());
+  }
+
   bool runUntil(const std::function<bool()> &Condition) {
     const TimePoint Until = TimeSource.now() + 2 * StopTime;
     while (!Condition() && TimeSource.now() < Until)
@@ -182,5 +200,18 @@
   EXPECT_EQ(Runs, 0);
 }
 
+// Guards against a process without the explanations on its metrics address,
+// also while it drains, and against a request that they send.
+TEST_F(GatewayDrainTest, HostExplainsBeforeAndDuringItsDrain) {
+  const auto Ready = explain();
+  EXPECT_FALSE(Ready.at("draining").as_bool());
+  EXPECT_EQ(Ready.at("outcome").at("result").as_string(), "send");
+  EXPECT_EQ(Ready.at("targets").as_array().size(), 1U);
+  Process->signal(SIGTERM);
+  EXPECT_TRUE(Process->waitForLog("event=drain"));
+  EXPECT_TRUE(explain().at("draining").as_bool());
+  EXPECT_EQ(Runs, 0);
+}
+
 } // namespace
 } // namespace comfreyrill
