Client: Read explanations as the linter asks

Cause: a product of int that initialises a size, and a copy of a reader. Change: the product is of std::size_t, the reader is moved. Tested: TestClient (27), all passed.

--- a/Utilities/Client/ExplainResponse.cpp
+++ b/Utilities/Client/ExplainResponse.cpp
@@ -3,6 +3,7 @@
 #include <LibJson/JsonReader.h>
 
 #include <limits>
+#include <utility>
 
 namespace comfreyrill {
 
@@ -12,7 +13,7 @@
 constexpr std::uint32_t CountLimit = std::numeric_limits<std::uint32_t>::max();
 constexpr std::size_t ResponseBytes = std::size_t{8} * 1024 * 1024;
 constexpr std::size_t DepthMaximum = 8;
-constexpr std::size_t TextBytes = 16 * 1024;
+constexpr std::size_t TextBytes = std::size_t{16} * 1024;
 constexpr double NumberLimit = 1e12;
 // Ages of load reports and times of exclusions of targets are bounded by the
 // uptime of hosts.
@@ -159,8 +160,9 @@
   readText(Root.optional("service"), Read.Service);
   readTime(Root.optional("expected_time_ms"), Read.ExpectedTime);
   Root.optional("targets").array(
-      0, JsonReader::NoMaximum,
-      [&](JsonReader Element) { Read.Targets.push_back(readTarget(Element)); });
+      0, JsonReader::NoMaximum, [&](JsonReader Element) {
+        Read.Targets.push_back(readTarget(std::move(Element)));
+      });
   Read.Outcome = readOutcome(Root.required("outcome"));
   TRY(Document.finish("explanation", UnknownFields::Ignore));
   return Read;
