LibDomainChoice: Choose another domain for the gain of a single request

Cause: requests outside the leaving share used no target of another domain, and the share counts slots only. A domain whose free slots were slow kept its requests although its neighbors could have answered them in time.

Change: when the first probes of a request that stays find no local target that is free and at its usual speed, further probes may go to a domain with a recent report and spare slots, if the gain is worth more than the bytes. The loads of other domains are exchanged from 55% busy or slow slots on (60% busy before).

--- a/Libraries/LibDomainChoice/DomainChoice.cpp
+++ b/Libraries/LibDomainChoice/DomainChoice.cpp
@@ -25,7 +25,7 @@
 constexpr double UtilizationMargin = 0.05;
 // Utilization above which the loads of the other domains are exchanged. Early
 // enough that they are known when requests begin to leave.
-constexpr double InterestUtilization = 0.6;
+constexpr double InterestUtilization = 0.55;
 // A smaller share ends.
 constexpr double EndShare = 0.02;
 // Ramp: all hosts of a domain see the same loads and act at the same time, and
@@ -346,8 +346,11 @@
 } // namespace
 
 bool needsOtherDomains(const DomainLoad &Own) {
+  // Free slots of slow targets are of no use to a request with a short
+  // objective.
   return Own.Targets == 0 ||
-         (Own.UsefulSlots > 0 && utilization(Own) >= InterestUtilization);
+         (Own.UsefulSlots > 0 && Own.BusySlots + Own.SlowSlots >=
+                                     InterestUtilization * Own.UsefulSlots);
 }
 
 double leavingShare(const DomainChoiceState &State) {
--- a/Libraries/LibDomainChoice/DomainChoice.h
+++ b/Libraries/LibDomainChoice/DomainChoice.h
@@ -24,6 +24,9 @@
   /// The requests of the domain need more slots than it has, whether or not
   /// some leave. See DomainChoiceState::IsPressed.
   bool IsPressed = false;
+  /// Free useful slots of targets that are slower than usual. Known of the own
+  /// domain only, 0 otherwise.
+  std::uint32_t SlowSlots = 0;
 };
 
 /// State of one failure domain for one service as a host knows it.
--- a/Libraries/LibDomainChoice/RequestChoice.h
+++ b/Libraries/LibDomainChoice/RequestChoice.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Random.h>
 #include <LibDomainChoice/DomainChoice.h>
+#include <LibDomainChoice/GainChoice.h>
 #include <LibGateway/TargetSelection.h>
 
 #include <array>
@@ -30,6 +31,8 @@
   std::optional<FailureDomain> Destination;
   /// How much better a target there must be than one of the own domain.
   RemoteFactors Factors;
+  /// The domain that the further probes for a request which stays may use.
+  std::optional<GainDestination> ByGain = {};
 };
 
 /// Decides whether a request may leave. Of the recent requests, those leave
