Gateway: Use another domain when its gain is worth the bytes

Cause: all remote candidates were removed for a request outside the leaving share, also when the probes found only busy or slow local targets.

Change: after each round of probes DomainRouting decides whether the next ones may go to a neighbor, selects the probes and the target, and counts why requests left (requests_left_domain_total by reason, left_domain_by in attempt, domain_gain_begin and domain_gain_end). Without domain_byte_price there is no DomainRouting and the factors decide as before. Nothing leaves by gain while the loads of the own domain are unknown.

Tested: TestLibDomainChoice, 34 passed; TestGateway with the filter *Domain*:RequestExecution*, 70 passed. The rest of TestGateway was not run.

--- a/Libraries/LibDomainChoice/GainChoice.cpp
+++ b/Libraries/LibDomainChoice/GainChoice.cpp
@@ -64,7 +64,8 @@
                                               TimePoint Now) {
   std::vector<GainDestination> Found;
   const DomainLoad &Own = Input.Own.Load;
-  if (Own.BusySlots < OwnUtilizationMinimum * Own.UsefulSlots)
+  if (Own.UsefulSlots == 0 ||
+      Own.BusySlots < OwnUtilizationMinimum * Own.UsefulSlots)
     return Found;
   for (const DomainCondition &Other : Input.Others) {
     const DomainLoad &Load = Other.Load;
--- a/Services/Gateway/DomainRouting.cpp
+++ b/Services/Gateway/DomainRouting.cpp
@@ -11,6 +11,10 @@
 constexpr double ResponseBytesWeight = 0.05;
 // Reports between domains arrive three times in this time.
 constexpr Duration DomainSilentAfter = std::chrono::seconds(3);
+// Why a request uses a target of another domain.
+constexpr std::string_view LeftByShare = "share";
+constexpr std::string_view LeftByGain = "gain";
+constexpr std::string_view LeftWithoutLocalTarget = "no_local_target";
 
 std::string metricName(std::string_view Name, const ServiceName &Service) {
   return std::string(Name) + "{service=\"" + Service.Value + "\"}";
@@ -23,7 +27,10 @@
   const LoadReport &Load = *Target.LastLoad;
   const std::uint32_t Useful = usefulSlots(Load.Slots);
   Sum.UsefulSlots += Useful;
-  Sum.BusySlots += std::min(Load.InFlight + Load.Queued, Useful);
+  const std::uint32_t Busy = std::min(Load.InFlight + Load.Queued, Useful);
+  Sum.BusySlots += Busy;
+  if (Load.Slowdown > UsualSlowdownMaximum)
+    Sum.SlowSlots += Useful - Busy;
   Sum.Slowdown +=
       (Load.Slowdown - Sum.Slowdown) / static_cast<double>(++Sum.KnownTargets);
 }
@@ -117,10 +124,41 @@
     Input.Others.push_back(Condition);
   }
   const bool WasSending = !Entry.State.Shares.empty();
+  const bool WasGainPossible = !Entry.GainDestinations.empty();
   updateDomainChoice(Entry.State, Input, Now);
+  Entry.GainDestinations = gainDestinations(Input, Now);
   Dependencies.ProcessMetrics.setGauge(
       metricName("domain_leaving_share", Service), leavingShare(Entry.State));
   logChange(Service, Entry.State, WasSending);
+  logGainChange(Service, Entry, WasGainPossible);
+}
+
+void DomainRouting::logGainChange(const ServiceName &Service,
+                                  const ServiceRouting &Entry,
+                                  bool WasPossible) {
+  const bool IsPossible = !Entry.GainDestinations.empty();
+  if (IsPossible == WasPossible)
+    return;
+  const std::string_view Event =
+      IsPossible ? "domain_gain_begin" : "domain_gain_end";
+  std::string Destinations;
+  for (const GainDestination &Destination : Entry.GainDestinations)
+    Destinations +=
+        (Destinations.empty() ? "" : ",") + Destination.Domain.Value;
+  LogLine Line(Event);
+  Line.field("service", Service.Value)
+      .field("failure_domain", Dependencies.HostDomain.Value)
+      .field("destinations", Destinations)
+      .field("left_by_share", leftCounter(Service, LeftByShare))
+      .field("left_by_gain", leftCounter(Service, LeftByGain));
+  Dependencies.Events.write(LogLevel::Info, Event, Line);
+}
+
+std::uint64_t &DomainRouting::leftCounter(const ServiceName &Service,
+                                          std::string_view Reason) {
+  return Dependencies.ProcessMetrics.counter(
+      "requests_left_domain_total{service=\"" + Service.Value + "\",reason=\"" +
+      std::string(Reason) + "\"}");
 }
 
 void DomainRouting::logChange(const ServiceName &Service,
@@ -163,8 +201,7 @@
                           Dependencies.Generator);
 }
 
-void DomainRouting::restrict(const ServiceName &Service,
-                             const RequestChoice &Choice,
+void DomainRouting::restrict(const ServiceName &Service, RequestChoice &Choice,
                              std::vector<TargetCandidate> &Candidates) {
   const DomainChoiceState &State = Services[Service].State;
   const bool HasLocal = std::any_of(
@@ -174,17 +211,59 @@
   // A request that stays and has no local target left is better served
   // elsewhere than rejected, unless that is known to be in vain.
   const bool IsKnownInVain = State.IsOwnLost && !State.Allowances.empty();
-  if (!Choice.Destination && !HasLocal && !IsKnownInVain)
-    return;
+  if (!Choice.Destination && !HasLocal) {
+    Choice.ByGain.reset();
+    if (!IsKnownInVain)
+      return;
+  }
   std::erase_if(Candidates, [&](const TargetCandidate &Target) {
-    return !Target.IsInLocalDomain &&
-           (!Choice.Destination ||
-            Dependencies.CurrentState.targets()
-                    .Targets.at(Target.Id)
-                    .Registration.Domain != *Choice.Destination);
+    if (Target.IsInLocalDomain)
+      return false;
+    const FailureDomain &Domain = Dependencies.CurrentState.targets()
+                                      .Targets.at(Target.Id)
+                                      .Registration.Domain;
+    if (Choice.Destination)
+      return Domain != *Choice.Destination;
+    return !Choice.ByGain || Domain != Choice.ByGain->Domain ||
+           Target.IsSuspect || Target.IsOnProbation || Target.IsCold;
   });
 }
 
+std::vector<TargetCandidate> DomainRouting::selectProbes(
+    const ServiceName &Service, const RequestChoice &Choice,
+    std::vector<TargetCandidate> Candidates, std::size_t Count) {
+  if (!Choice.ByGain)
+    return selectProbeCandidates(std::move(Candidates), Count,
+                                 Dependencies.Generator, Choice.Factors);
+  return selectProbesByGain(std::move(Candidates), Count,
+                            Services[Service].Credit, Dependencies.Generator,
+                            Choice.Factors);
+}
+
+std::optional<std::size_t> DomainRouting::select(
+    const ServiceName &Service, const Route &Matched, GainRequest Request,
+    const std::vector<ProbedCandidate> &Probed, RequestChoice &Choice) {
+  ServiceRouting &Entry = Services[Service];
+  const bool HasLocal = std::any_of(Probed.begin(), Probed.end(),
+                                    [](const ProbedCandidate &Candidate) {
+                                      return Candidate.Target.IsInLocalDomain;
+                                    });
+  // Without a local target the request uses whatever restrict() has left.
+  if (Choice.Destination || (!HasLocal && !Choice.ByGain))
+    return selectTarget(Probed, Choice.Factors);
+  Request.Bytes += Entry.ResponseBytesByRoute[Matched.Name];
+  const auto Best =
+      selectByGain(Probed, Request, Choice.ByGain, BytePrice, Choice.Factors);
+  const bool IsLocalBest = Best && Probed[*Best].Target.IsInLocalDomain;
+  const TimePoint Now = Dependencies.TimeSource.now();
+  if (IsLocalBest)
+    Choice.ByGain = chooseByGain(Entry.GainDestinations, Request, Probed,
+                                 BytePrice, Now, Dependencies.Generator);
+  else if (!Best && Choice.ByGain && Now > Choice.ByGain->KnownUntil)
+    Choice.ByGain.reset();
+  return Best;
+}
+
 void DomainRouting::beginWait(const ServiceName &Service) {
   ++Services[Service].Waiting;
 }
@@ -200,15 +279,23 @@
     ++Services[Service].Refused;
 }
 
-void DomainRouting::recordAttempt(const ServiceName &Service,
-                                  const TargetCandidate &Target,
-                                  std::size_t RequestBytes) {
+std::string_view DomainRouting::recordAttempt(const ServiceName &Service,
+                                              const TargetCandidate &Target,
+                                              const RequestChoice &Choice,
+                                              std::size_t RequestBytes) {
   if (Target.IsInLocalDomain)
-    return;
+    return "";
   GatewayMetrics &Metrics = Dependencies.ProcessMetrics;
   ++Metrics.counter(metricName("requests_to_other_domains_total", Service));
   Metrics.counter(metricName("bytes_to_other_domains_total", Service)) +=
       RequestBytes;
+  const std::string_view Reason = Choice.Destination ? LeftByShare
+                                  : Choice.ByGain    ? LeftByGain
+                                                     : LeftWithoutLocalTarget;
+  ++leftCounter(Service, Reason);
+  if (Reason == LeftByGain)
+    recordTaken(Services[Service].Credit);
+  return Reason;
 }
 
 void DomainRouting::recordAnswer(const ServiceName &Service,
--- a/Services/Gateway/DomainRouting.h
+++ b/Services/Gateway/DomainRouting.h
@@ -35,15 +35,29 @@
   RequestChoice choose(const ServiceName &Service, const Route &Matched,
                        std::size_t RequestBytes, Duration Waited);
   /// Removes the candidates that the request may not use.
-  void restrict(const ServiceName &Service, const RequestChoice &Choice,
+  void restrict(const ServiceName &Service, RequestChoice &Choice,
                 std::vector<TargetCandidate> &Candidates);
+  /// Selects the candidates to probe.
+  std::vector<TargetCandidate>
+  selectProbes(const ServiceName &Service, const RequestChoice &Choice,
+               std::vector<TargetCandidate> Candidates, std::size_t Count);
+  /// Returns the index of the target to use, and decides whether the further
+  /// probes of a request that stays may go to another domain for their gain.
+  std::optional<std::size_t> select(const ServiceName &Service,
+                                    const Route &Matched, GainRequest Request,
+                                    const std::vector<ProbedCandidate> &Probed,
+                                    RequestChoice &Choice);
   /// Counts requests that wait for a slot.
   void beginWait(const ServiceName &Service);
   void endWait(const ServiceName &Service);
   /// Counts a request that was rejected for lack of a slot.
   void recordRefusal(const ServiceName &Service, const RequestChoice &Choice);
-  void recordAttempt(const ServiceName &Service, const TargetCandidate &Target,
-                     std::size_t RequestBytes);
+  /// Counts an attempt and returns why it goes to another domain, or "" if it
+  /// does not.
+  std::string_view recordAttempt(const ServiceName &Service,
+                                 const TargetCandidate &Target,
+                                 const RequestChoice &Choice,
+                                 std::size_t RequestBytes);
   void recordAnswer(const ServiceName &Service, const Route &Matched,
                     std::size_t ResponseBytes);
 
@@ -61,6 +75,8 @@
     DomainChoiceState State;
     RecentCosts Recent;
     std::map<FailureDomain, ReportedDomainLoad> Reports;
+    std::vector<GainDestination> GainDestinations;
+    GainCredit Credit;
     std::map<std::string, double> ResponseBytesByRoute;
     double Received = 0;
     double Refused = 0;
@@ -74,6 +90,11 @@
                                                  double *InFlight);
   void logChange(const ServiceName &Service, const DomainChoiceState &State,
                  bool WasSending);
+  /// Counter of the requests that have left the failure domain for a reason.
+  std::uint64_t &leftCounter(const ServiceName &Service,
+                             std::string_view Reason);
+  void logGainChange(const ServiceName &Service, const ServiceRouting &Entry,
+                     bool WasPossible);
 
   const GatewayDependencies &Dependencies;
   const DomainTable &Domains;
--- a/Services/Gateway/RequestExecution.cpp
+++ b/Services/Gateway/RequestExecution.cpp
@@ -299,10 +299,29 @@
   for (TargetCandidate &Candidate : Candidates)
     Candidate.HasIdleConnection = Dependencies.Pool.hasIdle(
         Registered.at(Candidate.Id).Registration.Address);
-  co_return co_await Prober.run(
-      selectProbeCandidates(std::move(Candidates), Allowed,
-                            Dependencies.Generator, DomainChoice.Factors),
-      Service, HealthPath, IdDigest, Deadline);
+  co_return co_await Prober.run(selectProbes(std::move(Candidates), Allowed),
+                                Service, HealthPath, IdDigest, Deadline);
+}
+
+std::vector<TargetCandidate>
+RequestExecution::selectProbes(std::vector<TargetCandidate> Candidates,
+                               std::size_t Count) {
+  if (Dependencies.Domains != nullptr)
+    return Dependencies.Domains->selectProbes(Service, DomainChoice,
+                                              std::move(Candidates), Count);
+  return selectProbeCandidates(std::move(Candidates), Count,
+                               Dependencies.Generator, DomainChoice.Factors);
+}
+
+std::optional<std::size_t>
+RequestExecution::selectFound(const std::vector<ProbedCandidate> &Probed) {
+  if (Dependencies.Domains == nullptr)
+    return selectTarget(Probed, DomainChoice.Factors);
+  const GainRequest Gain{static_cast<double>(Request.body().size()),
+                         Dependencies.TimeSource.now() - ReceivedAt,
+                         SelectedRoute->LatencyObjective, workTime()};
+  return Dependencies.Domains->select(Service, *SelectedRoute, Gain, Probed,
+                                      DomainChoice);
 }
 
 // Any path but the health path is a request to the target.
@@ -349,7 +368,7 @@
         Probed.push_back(Target.Candidate);
         Found.push_back(std::move(Target));
       }
-      Best = selectTarget(Probed, DomainChoice.Factors);
+      Best = selectFound(Probed);
       if (HasCallerLeft || (Best && isGoodEnough(Probed[*Best])))
         break;
     }
@@ -419,6 +438,8 @@
 
 Awaitable<std::optional<ConnectedTarget>>
 RequestExecution::findTargetFromCachedLoad() {
+  // Another domain is used for its gain only after a probe.
+  DomainChoice.ByGain.reset();
   const auto Candidates = usableCandidates();
   const auto Index = selectFromCachedLoad(Candidates, Dependencies.Generator);
   if (!Index)
@@ -490,9 +511,10 @@
   const TargetProcess Process = processOf(Target.Candidate.Target);
   ++AttemptCount;
   TriedTargets.insert(Id);
+  std::string_view LeftBy;
   if (Dependencies.Domains != nullptr)
-    Dependencies.Domains->recordAttempt(Service, Target.Candidate.Target,
-                                        Request.body().size());
+    LeftBy = Dependencies.Domains->recordAttempt(
+        Service, Target.Candidate.Target, DomainChoice, Request.body().size());
   ActiveConnection = std::move(Target.Connection);
   Dependencies.CurrentState.beginAttempt(Process);
   recordReceived(*Dependencies.CurrentState.serviceStats(Service).Waiting,
@@ -577,6 +599,8 @@
              static_cast<std::uint64_t>(Target.Candidate.Load.Slowdown * 100))
       .field("outcome", attemptOutcomeName(Report.Outcome))
       .field("ms", milliseconds(Elapsed));
+  if (!LeftBy.empty())
+    Line.field("left_domain_by", LeftBy);
   if (Report.Outcome == AttemptOutcome::Answered)
     Dependencies.Events.write(LogLevel::Info, "attempt", Line);
   else
--- a/Services/Gateway/RequestExecution.h
+++ b/Services/Gateway/RequestExecution.h
@@ -67,6 +67,11 @@
   /// Connects to a target that a recent load report shows to be free, without
   /// probing it.
   Awaitable<std::optional<ConnectedTarget>> findTargetFromCachedLoad();
+  std::vector<TargetCandidate>
+  selectProbes(std::vector<TargetCandidate> Candidates, std::size_t Count);
+  /// Returns the index of the best target that was found.
+  std::optional<std::size_t>
+  selectFound(const std::vector<ProbedCandidate> &Probed);
   std::size_t acquireProbes(ProbeDemand Demand, std::size_t Candidates);
   /// Waits until a target that is left out for a pause may be used again, or
   /// until another one may be used.
--- a/Tests/Gateway/TestDomainRouting.cpp
+++ b/Tests/Gateway/TestDomainRouting.cpp
@@ -149,7 +149,7 @@
 TEST(DomainRouting, CandidatesOfOtherDomainsAreRemoved) {
   PressedHost Pressed;
   Pressed.run(1, 4);
-  const auto CountFor = [&](const RequestChoice &Choice) {
+  const auto CountFor = [&](RequestChoice Choice) {
     auto Candidates = Pressed.Host.CurrentState
                           .candidates(Pressed.Service, FailureDomain("west"))
                           .Targets;
@@ -182,8 +182,9 @@
   RoutingHost Host(Loop, TimeSource);
   TargetCandidate Local;
   Local.IsInLocalDomain = true;
-  Host.Routing->recordAttempt(ServiceName("stock"), Local, 100);
-  Host.Routing->recordAttempt(ServiceName("stock"), TargetCandidate{}, 60'000);
+  Host.Routing->recordAttempt(ServiceName("stock"), Local, {}, 100);
+  Host.Routing->recordAttempt(ServiceName("stock"), TargetCandidate{}, {},
+                              60'000);
   const std::string Text = Host.ProcessMetrics.text();
   EXPECT_NE(Text.find("requests_to_other_domains_total{service=\"stock\"} 1\n"),
             std::string::npos);
--- a/Tests/Gateway/TestRequestExecution.cpp
+++ b/Tests/Gateway/TestRequestExecution.cpp
@@ -417,6 +417,36 @@
   EXPECT_EQ(Remote.Runs, 0);
 }
 
+// Guards against a request that is refused or late in a domain whose free
+// targets are slow while a neighbor has a free one, and against departures that
+// are not counted.
+TEST_F(RequestExecutionTest, RequestUsesAFreeTargetOfANeighborForItsGain) {
+  DomainTable Domains;
+  Domains.Domains[FailureDomain("east")].HeardAt = TimeSource.now();
+  const auto Routing =
+      std::make_shared<DomainRouting>(Dependencies, Domains, 2e-6);
+  Dependencies.Domains = Routing.get();
+  Dependencies.ProbesPerTargetPerSecond = 1000;
+  configure(ExecutionSemantics::AtMostOnce);
+  FakeTarget &Local = addTarget(answerWhole);
+  Local.Load = "4,0,6,400";
+  LoadReport Slow;
+  Slow.InFlight = 4;
+  Slow.Slots = 6;
+  Slow.Slowdown = 4;
+  CurrentState.recordLoad(TargetId("i-1"), Slow);
+  FakeTarget &Remote = addTarget(answerWhole, "east");
+  Routing->recordReport(ServiceName("stock"), FailureDomain("east"),
+                        {{1, 1, 4, 0, 1, false}, TimeSource.now(), 1400us});
+  Routing->update();
+  begin("/x/1", "r-1");
+  EXPECT_EQ(finish().result(), http::status::ok);
+  EXPECT_EQ(Remote.Runs, 1);
+  EXPECT_EQ(ProcessMetrics.counter("requests_left_domain_total{service="
+                                   "\"stock\",reason=\"gain\"}"),
+            1U);
+}
+
 // Guards against refusing a request that another target can serve.
 TEST_F(RequestExecutionTest, ShedRequestIsRetriedAtAnotherTarget) {
   configure(ExecutionSemantics::AtMostOnce);
