--- a/Tests/LibDomainChoice/TestGainChoice.cpp
+++ b/Tests/LibDomainChoice/TestGainChoice.cpp
@@ -74,7 +74,8 @@
   const auto Destinations = gainDestinations(inputWith(neighbor()), Now);
   Random Generator{1};
   const auto MayLeave = [&](const GainRequest &Request,
-                            std::vector<ProbedCandidate> Probed, TimePoint At) {
+                            const std::vector<ProbedCandidate> &Probed,
+                            TimePoint At) {
     return chooseByGain(Destinations, Request, Probed, BytePrice, At, Generator)
         .has_value();
   };
