--- a/Services/Gateway/RequestExplainer.cpp
+++ b/Services/Gateway/RequestExplainer.cpp
@@ -213,8 +213,8 @@
                                          SelectionInput &Input) {
   const DomainRouting &Domains = *Dependencies.Domains;
   const ServiceName &Service = *Result.Service;
-  const RequestChoice Choice = Domains.preview(Service, *Result.Arrival.Matched,
-                                               Request.BodyBytes, Generator);
+  RequestChoice Choice = Domains.preview(Service, *Result.Arrival.Matched,
+                                         Request.BodyBytes, Generator);
   Input.Factors = Choice.Factors;
   Domains.restrict(Service, Choice, Input.Candidates);
   for (TargetExplanation &Target : Result.Targets) {
