--- a/Libraries/LibAccount/OwnerBucket.cpp
+++ b/Libraries/LibAccount/OwnerBucket.cpp
@@ -13,12 +13,6 @@
 // requests.
 constexpr double SubstituteShare = 0.1;
 constexpr double SubstituteTokens = 2;
-// Tokens with which a new owner begins. An account of one request per second
-// would otherwise get none for a second after the restart of all hosts. Three
-// failure domains that do not know one another yet grant them three times,
-// which leaves more than half of the 20 requests that a quota tolerates in a
-// window.
-constexpr double StartTokens = 3;
 // Hosts that request batches need a level above 1 between two requests, also
 // if the burst is small.
 constexpr Duration CapacityTime = std::chrono::milliseconds(50);
--- a/Libraries/LibAccount/OwnerBucket.h
+++ b/Libraries/LibAccount/OwnerBucket.h
@@ -45,6 +45,12 @@
 /// for changes of the owner.
 inline constexpr double BurstTolerance = 5;
 
+/// Tokens with which a new owner begins. An account of one request per second
+/// would otherwise get none for a second after a restart of all hosts. Three
+/// failure domains that do not know one another yet grant them three times,
+/// which leaves half of the 20 requests that a quota tolerates in a window.
+inline constexpr double StartTokens = 3;
+
 struct GrantedBatch {
   std::int32_t Granted = 0;
   /// Present when no token was granted.
@@ -55,9 +61,9 @@
 /// they do not know whether the owner grants tokens to other hosts.
 double substituteRate(double Rate);
 
-/// Makes the bucket of a host that has been the owner since FirstSince. The
-/// bucket of a new owner is empty, so that a change of the owner does not allow
-/// a second burst.
+/// Makes the bucket of a host that has been the owner since FirstSince. A new
+/// owner begins with few tokens, so that a change of the owner does not allow a
+/// second burst.
 OwnerBucket makeOwnerBucket(const AllotmentTerms &Terms, TimePoint FirstSince,
                             TimePoint Now);
 
