--- a/Services/Gateway/GatewayState.cpp
+++ b/Services/Gateway/GatewayState.cpp
@@ -134,8 +134,7 @@
 }
 
 bool GatewayState::isStarting() const {
-  return !CurrentConfiguration || Directory.Revision == StoreRevision{} ||
-         awaitsEvacuations();
+  return !CurrentConfiguration || awaitsEvacuations();
 }
 
 bool GatewayState::recordEvacuations(const std::set<FailureDomain> &Before,
--- a/Services/Gateway/GatewayState.h
+++ b/Services/Gateway/GatewayState.h
@@ -152,8 +152,8 @@
   /// learn which domains are evacuated. Requests might run in one of them.
   bool awaitsEvacuations() const;
 
-  /// True until this host has learned the configuration, the targets and the
-  /// evacuated domains for the first time.
+  /// True until this host has learned the configuration and the evacuated
+  /// domains for the first time.
   bool isStarting() const;
 
   /// Starts the grace period for targets whose registrations are missing after
--- a/Services/Gateway/RequestExecution.cpp
+++ b/Services/Gateway/RequestExecution.cpp
@@ -13,8 +13,8 @@
 
 namespace {
 
-// A host that starts knows the configuration and the targets within about 0.1
-// s. Requests that it receives before are held for at most twice as long.
+// A host that starts knows the configuration within about 0.1 s. Requests that
+// it receives before are held for at most twice as long.
 constexpr Duration StateCheckInterval = std::chrono::milliseconds(10);
 constexpr int StateWaitRounds = 20;
 constexpr std::uint64_t AnswerBytesMaximum = std::uint64_t{8} * 1024 * 1024;
