LibCore: Draw by weight in one place

The routing by gain had written again how a domain is drawn in proportion to a number, as chooseForRequest and chooseService do. All three call randomByWeight now; the draws from the generator and their results are the same, but that no number is drawn when no weight is positive.

--- a/Libraries/LibDomainChoice/GainChoice.cpp
+++ b/Libraries/LibDomainChoice/GainChoice.cpp
@@ -98,26 +98,19 @@
   if (!Local || isGoodEnough(Probed[*Local]))
     return std::nullopt;
   const Duration AtHome = expectedTime(Request, Probed[*Local]);
-  std::vector<const GainDestination *> Found;
-  double Sum = 0;
+  std::vector<GainDestination> Found;
   for (const GainDestination &Entry : Destinations)
     if (Now <= Entry.KnownUntil &&
         gainOfLeaving(Request, AtHome, Request.WorkTime + 2 * Entry.Delay) >
-            BytePrice * Request.Bytes) {
-      Found.push_back(&Entry);
-      Sum += Entry.SpareSlots;
-    }
-  if (Found.empty())
+            BytePrice * Request.Bytes)
+      Found.push_back(Entry);
+  const auto Drawn =
+      randomByWeight(Generator, Found, [](const GainDestination &Entry) {
+        return Entry.SpareSlots;
+      });
+  if (Drawn == Found.end())
     return std::nullopt;
-  double Drawn = std::uniform_real_distribution<double>(0, Sum)(Generator);
-  GainDestination Chosen = *Found.back();
-  for (const GainDestination *Entry : Found) {
-    Drawn -= Entry->SpareSlots;
-    if (Drawn < 0) {
-      Chosen = *Entry;
-      break;
-    }
-  }
+  GainDestination Chosen = *Drawn;
   Chosen.AtHome = AtHome;
   return Chosen;
 }
--- a/Libraries/LibDomainChoice/RequestChoice.cpp
+++ b/Libraries/LibDomainChoice/RequestChoice.cpp
@@ -63,22 +63,13 @@
   const bool IsTooExpensive = !State.IsOwnLost && PriceOfBytes >= 1;
   if (Found.empty() || IsTooExpensive || Rank >= leavingShare(State))
     return {std::nullopt, StayFactors};
-  double Sum = 0;
-  for (const DomainShare &Entry : Found)
-    Sum += Entry.Share;
-  double Drawn = std::uniform_real_distribution<double>(0, Sum)(Generator);
-  const DomainShare *Chosen = &Found.back();
-  for (const DomainShare &Entry : Found) {
-    Drawn -= Entry.Share;
-    if (Drawn < 0) {
-      Chosen = &Entry;
-      break;
-    }
-  }
+  const auto Drawn = randomByWeight(
+      Generator, Found, [](const DomainShare &Entry) { return Entry.Share; });
+  const DomainShare &Chosen = Drawn == Found.end() ? Found.back() : *Drawn;
   if (State.IsOwnLost)
-    return {Chosen->Domain, {1, 1}};
+    return {Chosen.Domain, {1, 1}};
   return {
-      Chosen->Domain,
+      Chosen.Domain,
       {std::min(1 + PriceOfBytes, SelectionFactorMaximum), LeavingProbeFactor}};
 }
 
--- a/Libraries/LibGateway/RouteTable.cpp
+++ b/Libraries/LibGateway/RouteTable.cpp
@@ -21,13 +21,6 @@
   return Host.substr(0, Host.find(':'));
 }
 
-double totalWeight(const Route &Selected) {
-  double Total = 0;
-  for (const WeightedService &Weighted : Selected.Services)
-    Total += std::max(Weighted.Weight, 0.0);
-  return Total;
-}
-
 } // namespace
 
 const Route *findRoute(const Configuration &Active, std::string_view Host,
@@ -46,7 +39,9 @@
 }
 
 std::vector<double> serviceShares(const Route &Selected) {
-  const double Total = totalWeight(Selected);
+  double Total = 0;
+  for (const WeightedService &Weighted : Selected.Services)
+    Total += std::max(Weighted.Weight, 0.0);
   std::vector<double> Shares;
   for (const WeightedService &Weighted : Selected.Services)
     Shares.push_back(Total > 0 ? std::max(Weighted.Weight, 0.0) / Total : 0);
@@ -54,20 +49,10 @@
 }
 
 const ServiceName *chooseService(const Route &Selected, Random &Generator) {
-  const double Total = totalWeight(Selected);
-  if (Total <= 0)
-    return nullptr;
-  double Position = std::uniform_real_distribution<double>(0, Total)(Generator);
-  const ServiceName *Last = nullptr;
-  for (const WeightedService &Weighted : Selected.Services) {
-    if (Weighted.Weight <= 0)
-      continue;
-    Last = &Weighted.Service;
-    Position -= Weighted.Weight;
-    if (Position < 0)
-      break;
-  }
-  return Last;
+  const auto Drawn = randomByWeight(
+      Generator, Selected.Services,
+      [](const WeightedService &Weighted) { return Weighted.Weight; });
+  return Drawn == Selected.Services.end() ? nullptr : &Drawn->Service;
 }
 
 const ServiceDescription *findService(const Configuration &Active,
