LibGateway: Look accounts up by name in one place

The explain command had a function of its own beside that of the AllotmentExchange. Both call findAccountByName now.

--- a/Libraries/LibGateway/ArrivalExplanation.cpp
+++ b/Libraries/LibGateway/ArrivalExplanation.cpp
@@ -14,16 +14,6 @@
 constexpr unsigned StatusTooLarge = 413;
 constexpr unsigned StatusUnavailable = 503;
 
-const ClientAccount *findByName(const Configuration &Active,
-                                const AccountName &Name) {
-  if (!Active.Accounts)
-    return nullptr;
-  const auto Found = std::find_if(
-      Active.Accounts->begin(), Active.Accounts->end(),
-      [&](const ClientAccount &Known) { return Known.Name == Name; });
-  return Found == Active.Accounts->end() ? nullptr : &*Found;
-}
-
 } // namespace
 
 ArrivalExplanation explainArrival(const Configuration *Active,
@@ -44,7 +34,7 @@
     return Result;
   }
   if (Request.Account) {
-    Result.Account = findByName(*Active, *Request.Account);
+    Result.Account = findAccountByName(*Active, *Request.Account);
     if (Result.Account == nullptr)
       Result.Refusal = {StatusUnauthorized, "unknown_account", std::nullopt};
     return Result;
--- a/Libraries/LibGateway/RouteTable.cpp
+++ b/Libraries/LibGateway/RouteTable.cpp
@@ -65,4 +65,14 @@
   return Position == Active.Services.end() ? nullptr : &*Position;
 }
 
+const ClientAccount *findAccountByName(const Configuration &Active,
+                                       const AccountName &Name) {
+  if (!Active.Accounts)
+    return nullptr;
+  const auto Position = std::find_if(
+      Active.Accounts->begin(), Active.Accounts->end(),
+      [&](const ClientAccount &Known) { return Known.Name == Name; });
+  return Position == Active.Accounts->end() ? nullptr : &*Position;
+}
+
 } // namespace comfreyrill
--- a/Libraries/LibGateway/RouteTable.h
+++ b/Libraries/LibGateway/RouteTable.h
@@ -26,4 +26,8 @@
 const ServiceDescription *findService(const Configuration &Active,
                                       const ServiceName &Name);
 
+/// Returns the account of this name, or null.
+const ClientAccount *findAccountByName(const Configuration &Active,
+                                       const AccountName &Name);
+
 } // namespace comfreyrill
--- a/Services/Gateway/AllotmentExchange.cpp
+++ b/Services/Gateway/AllotmentExchange.cpp
@@ -1,6 +1,7 @@
 #include "AllotmentExchange.h"
 
 #include <LibCore/Hash.h>
+#include <LibGateway/RouteTable.h>
 
 #include <algorithm>
 
@@ -19,16 +20,6 @@
       std::chrono::ceil<std::chrono::milliseconds>(Time).count());
 }
 
-const ClientAccount *findAccount(const Configuration *Current,
-                                 const std::string &Name) {
-  if (!Current || !Current->Accounts)
-    return nullptr;
-  const auto Position = std::find_if(
-      Current->Accounts->begin(), Current->Accounts->end(),
-      [&](const ClientAccount &Known) { return Known.Name.Value == Name; });
-  return Position == Current->Accounts->end() ? nullptr : &*Position;
-}
-
 bool isGone(const MemberTable &Members, const Peer &Other, TimePoint Now) {
   return Other.Description.State == HostState::Leaving &&
          liveness(Members, Other, Now) != Liveness::Alive;
@@ -159,7 +150,9 @@
   Grant.lifetime_ms = millisecondsRoundedUp(TokenLifetime);
   const auto Current = Dependencies.CurrentState.configuration();
   const std::int32_t Wanted = std::clamp(Request.wanted, 1, GrantMaximum);
-  const ClientAccount *Holder = findAccount(Current.get(), Request.account);
+  const ClientAccount *Holder =
+      Current ? findAccountByName(*Current, AccountName(Request.account))
+              : nullptr;
   if (Holder && Holder->Rate > 0) {
     const TimePoint Now = Dependencies.TimeSource.now();
     refreshView(Now);
