LibGateway: Bound the probes of a round in one place

A request and its explanation each bounded the demand by the number of candidates in a loop of their own; limitDemand does it for both. Requests of a host that is not starting no longer create a coroutine to find that out.

--- a/Libraries/LibGateway/ProbeTokenBucket.cpp
+++ b/Libraries/LibGateway/ProbeTokenBucket.cpp
@@ -15,6 +15,12 @@
 
 } // namespace
 
+ProbeDemand limitDemand(const ProbeDemand &Demand, std::size_t Candidates) {
+  return {std::min(Demand.Minimum, Candidates),
+          std::min(Demand.Regular, Candidates),
+          std::min(Demand.Maximum, Candidates)};
+}
+
 std::size_t acquireProbeTokens(ProbeTokenBucket &Bucket,
                                const ProbeRatePolicy &Policy,
                                const ProbeDemand &Demand, TimePoint Now) {
--- a/Libraries/LibGateway/ProbeTokenBucket.h
+++ b/Libraries/LibGateway/ProbeTokenBucket.h
@@ -39,6 +39,9 @@
 inline constexpr std::array<ProbeDemand, 2> ProbesByRound{
     {{1, 3, 5}, {0, 5, 6}}};
 
+/// Returns a demand of at most one probe for each candidate.
+ProbeDemand limitDemand(const ProbeDemand &Demand, std::size_t Candidates);
+
 /// Takes tokens for probes from this host's bucket; returns their number.
 std::size_t acquireProbeTokens(ProbeTokenBucket &Bucket,
                                const ProbeRatePolicy &Policy,
--- a/Libraries/LibGateway/SelectionExplanation.cpp
+++ b/Libraries/LibGateway/SelectionExplanation.cpp
@@ -76,7 +76,8 @@
   }
 
   std::vector<std::size_t> probe(const std::vector<std::size_t> &Found,
-                                 ProbeDemand Demand, ProbeTokenBucket &Tokens,
+                                 const ProbeDemand &Demand,
+                                 ProbeTokenBucket &Tokens,
                                  Random &Generator) const {
     std::vector<std::size_t> Left;
     std::vector<ProbeCost> LeftCosts;
@@ -86,12 +87,9 @@
         LeftCosts.push_back(Costs[Index]);
       }
     std::size_t Allowed = Found.empty() ? 1 : 0;
-    if (Input.IsProbed) {
-      for (std::size_t *Count :
-           {&Demand.Minimum, &Demand.Regular, &Demand.Maximum})
-        *Count = std::min(*Count, Left.size());
-      Allowed = acquireProbeTokens(Tokens, Input.ProbePolicy, Demand, Now);
-    }
+    if (Input.IsProbed)
+      Allowed = acquireProbeTokens(Tokens, Input.ProbePolicy,
+                                   limitDemand(Demand, Left.size()), Now);
     std::vector<std::size_t> Chosen;
     for (const std::size_t Index : rankProbes(LeftCosts, Allowed, Generator))
       Chosen.push_back(Left[Index]);
--- a/Services/Gateway/RequestExecution.cpp
+++ b/Services/Gateway/RequestExecution.cpp
@@ -60,7 +60,8 @@
 
 Awaitable<HttpResponse> RequestExecution::run() {
   const auto Self = shared_from_this();
-  co_await waitForState();
+  if (Dependencies.CurrentState.isStarting())
+    co_await waitForState();
   CurrentConfiguration = Dependencies.CurrentState.configuration();
   if (!CurrentConfiguration)
     co_return refuse(http::status::service_unavailable, "no_configuration",
@@ -367,15 +368,14 @@
   co_return Connected;
 }
 
-std::size_t RequestExecution::acquireProbes(ProbeDemand Demand,
+std::size_t RequestExecution::acquireProbes(const ProbeDemand &Demand,
                                             std::size_t Candidates) {
   const ProbeRatePolicy Policy{
       Dependencies.ProbesPerTargetPerSecond,
       Dependencies.CurrentState.targets().Targets.size(),
       Dependencies.BudgetHostCount()};
-  for (std::size_t *Count : {&Demand.Minimum, &Demand.Regular, &Demand.Maximum})
-    *Count = std::min(*Count, Candidates);
-  return acquireProbeTokens(Dependencies.ProbeTokens, Policy, Demand,
+  return acquireProbeTokens(Dependencies.ProbeTokens, Policy,
+                            limitDemand(Demand, Candidates),
                             Dependencies.TimeSource.now());
 }
 
--- a/Services/Gateway/RequestExecution.h
+++ b/Services/Gateway/RequestExecution.h
@@ -84,7 +84,7 @@
   /// Returns the index of the best target that was found.
   std::optional<std::size_t>
   selectFound(const std::vector<ProbedCandidate> &Probed);
-  std::size_t acquireProbes(ProbeDemand Demand, std::size_t Candidates);
+  std::size_t acquireProbes(const ProbeDemand &Demand, std::size_t Candidates);
   /// Waits until a target that is left out for a pause may be used again, or
   /// until another one may be used.
   /// Returns false when the request is to be refused.
