Gateway: Share the bytes and names of domains in DomainRouting

choose(), preview() and select() each looked the mean response size up, and the two log lines each joined the names of domains. One function does each now, and a look-up no longer creates an entry for a route without responses.

--- a/Services/Gateway/DomainRouting.cpp
+++ b/Services/Gateway/DomainRouting.cpp
@@ -20,6 +20,14 @@
   return std::string(Name) + "{service=\"" + Service.Value + "\"}";
 }
 
+/// Returns the names of the domains of some entries, separated by commas.
+template <typename Entries> std::string joinDomains(const Entries &Listed) {
+  std::string Joined;
+  for (const auto &Entry : Listed)
+    Joined += (Joined.empty() ? "" : ",") + Entry.Domain.Value;
+  return Joined;
+}
+
 void addTarget(DomainLoad &Sum, const TargetCandidate &Target) {
   ++Sum.Targets;
   if (!Target.LastLoad || Target.LoadAge > DomainLoadAgeMaximum)
@@ -141,14 +149,10 @@
     return;
   const std::string_view Event =
       IsPossible ? "domain_gain_begin" : "domain_gain_end";
-  std::string Destinations;
-  for (const GainDestination &Destination : Entry.GainDestinations)
-    Destinations +=
-        (Destinations.empty() ? "" : ",") + Destination.Domain.Value;
   LogLine Line(Event);
   Line.field("service", Service.Value)
       .field("failure_domain", Dependencies.HostDomain.Value)
-      .field("destinations", Destinations)
+      .field("destinations", joinDomains(Entry.GainDestinations))
       .field("left_by_share", leftCounter(Service, LeftByShare))
       .field("left_by_gain", leftCounter(Service, LeftByGain));
   Dependencies.Events.write(LogLevel::Info, Event, Line);
@@ -172,16 +176,27 @@
   Line.field("service", Service.Value)
       .field("failure_domain", Dependencies.HostDomain.Value);
   if (IsSending) {
-    std::string Destinations;
-    for (const DomainShare &Entry : State.Shares)
-      Destinations += (Destinations.empty() ? "" : ",") + Entry.Domain.Value;
-    Line.field("destinations", Destinations)
+    Line.field("destinations", joinDomains(State.Shares))
         .field("percent", static_cast<std::uint64_t>(100 * leavingShare(State)))
         .field("own_targets", !State.IsOwnLost);
   }
   Dependencies.Events.write(LogLevel::Info, Event, Line);
 }
 
+double DomainRouting::responseBytes(const ServiceRouting &Entry,
+                                    const Route &Matched) {
+  const auto Known = Entry.ResponseBytesByRoute.find(Matched.Name);
+  return Known == Entry.ResponseBytesByRoute.end() ? 0 : Known->second;
+}
+
+LeavingRequest DomainRouting::leavingRequest(const ServiceRouting &Entry,
+                                             const Route &Matched,
+                                             std::size_t RequestBytes,
+                                             Duration Waited) {
+  return {static_cast<double>(RequestBytes) + responseBytes(Entry, Matched),
+          Waited, Matched.LatencyObjective};
+}
+
 RequestChoice DomainRouting::choose(const ServiceName &Service,
                                     const Route &Matched,
                                     std::size_t RequestBytes, Duration Waited) {
@@ -192,33 +207,23 @@
   if (IsNew)
     updateService(Service, Entry);
   ++Entry.Received;
-  LeavingRequest Request;
-  Request.Bytes = static_cast<double>(RequestBytes) +
-                  Entry.ResponseBytesByRoute[Matched.Name];
-  Request.Waited = Waited;
-  Request.LatencyObjective = Matched.LatencyObjective;
-  return chooseForRequest(Entry.State, Entry.Recent, Request, BytePrice,
-                          Dependencies.Generator);
+  return chooseForRequest(Entry.State, Entry.Recent,
+                          leavingRequest(Entry, Matched, RequestBytes, Waited),
+                          BytePrice, Dependencies.Generator);
 }
 
 RequestChoice DomainRouting::preview(const ServiceName &Service,
                                      const Route &Matched,
                                      std::size_t RequestBytes,
                                      Random &Other) const {
-  LeavingRequest Request;
-  Request.Bytes = static_cast<double>(RequestBytes);
-  Request.LatencyObjective = Matched.LatencyObjective;
-  const auto Entry = Services.find(Service);
-  if (Entry == Services.end()) {
-    RecentCosts None;
-    return chooseForRequest({}, None, Request, BytePrice, Other);
-  }
-  const auto ResponseBytes =
-      Entry->second.ResponseBytesByRoute.find(Matched.Name);
-  if (ResponseBytes != Entry->second.ResponseBytesByRoute.end())
-    Request.Bytes += ResponseBytes->second;
-  RecentCosts Copy = Entry->second.Recent;
-  return chooseForRequest(Entry->second.State, Copy, Request, BytePrice, Other);
+  const auto Known = Services.find(Service);
+  const ServiceRouting None;
+  const ServiceRouting &Entry = Known == Services.end() ? None : Known->second;
+  RecentCosts Copy = Entry.Recent;
+  return chooseForRequest(
+      Entry.State, Copy,
+      leavingRequest(Entry, Matched, RequestBytes, Duration::zero()), BytePrice,
+      Other);
 }
 
 const DomainChoiceState *
@@ -278,7 +283,7 @@
   // Without a local target the request uses whatever restrict() has left.
   if (Choice.Destination || (!HasLocal && !Choice.ByGain))
     return selectTarget(Probed, Choice.Factors);
-  Request.Bytes += Entry.ResponseBytesByRoute[Matched.Name];
+  Request.Bytes += responseBytes(Entry, Matched);
   const auto Best =
       selectByGain(Probed, Request, Choice.ByGain, BytePrice, Choice.Factors);
   const bool IsLocalBest = Best && Probed[*Best].Target.IsInLocalDomain;
--- a/Services/Gateway/DomainRouting.h
+++ b/Services/Gateway/DomainRouting.h
@@ -96,6 +96,13 @@
   /// Sums up the loads that this host knows by itself.
   std::map<FailureDomain, DomainLoad> knownLoads(const ServiceName &Service,
                                                  double *InFlight);
+  /// Mean bytes of the responses of a route, 0 before the first one.
+  static double responseBytes(const ServiceRouting &Entry,
+                              const Route &Matched);
+  static LeavingRequest leavingRequest(const ServiceRouting &Entry,
+                                       const Route &Matched,
+                                       std::size_t RequestBytes,
+                                       Duration Waited);
   void logChange(const ServiceName &Service, const DomainChoiceState &State,
                  bool WasSending);
   /// Counter of the requests that have left the failure domain for a reason.
