Tests/Gateway: Explain on the host of the exchange tests

TestRequestExplainer listed the members of a host again; it uses MeshHost now, with the seed and the count of hosts that it had.

--- a/Tests/Gateway/TestRequestExplainer.cpp
+++ b/Tests/Gateway/TestRequestExplainer.cpp
@@ -1,3 +1,5 @@
+#include "MeshHost.h"
+
 #include <ExplanationCodec.h>
 #include <RequestExplainer.h>
 
@@ -15,6 +17,8 @@
 class RequestExplainerTest : public testing::Test {
 protected:
   RequestExplainerTest() {
+    Host.Generator.seed(20261206);
+    Dependencies.BudgetHostCount = [] { return std::size_t{1}; };
     Request.Method = "GET";
     Request.Host = "a.example";
     Request.Path = "/x/1";
@@ -79,34 +83,27 @@
 
   asio::io_context Loop{1};
   ManualClock TimeSource;
-  Log Output{LogLevel::Error, ""};
-  RateLimitedLog Events{Output, TimeSource};
-  Random Generator{20261206};
-  MessageMemory Messages{{1'000'000, 1'000'000}};
-  ConnectionPool Pool{Loop.get_executor(), TimeSource, 5s, &Messages};
-  GatewayState CurrentState{TimeSource, Generator, Events};
-  GatewayMetrics ProcessMetrics;
-  ProbeTokenBucket Bucket;
-  GatewayDependencies Dependencies{Loop.get_executor(),
-                                   TimeSource,
-                                   Generator,
-                                   Pool,
-                                   CurrentState,
-                                   Events,
-                                   ProcessMetrics,
-                                   FailureDomain("west"),
-                                   {0.2, 10, 10s},
-                                   Bucket,
-                                   60,
-                                   std::nullopt,
-                                   Messages,
-                                   [] { return std::size_t{1}; }};
+  MeshHost Host{Loop, TimeSource, "west"};
+  GatewayState &CurrentState = Host.CurrentState;
+  GatewayDependencies &Dependencies = Host.Dependencies;
   const AllotmentExchange *Quotas = nullptr;
   ExplainedRequest Request;
   std::uint64_t Revision = 0;
   Explanation Result;
 };
 
+// Guards against an explanation that promises a target while the host still
+// refuses all requests after its start.
+TEST_F(RequestExplainerTest, HostThatAwaitsEvacuationsRefuses) {
+  CurrentState.setHasEvacuations(true);
+  configure();
+  add("sound");
+  explain();
+  ASSERT_TRUE(Result.Refusal);
+  EXPECT_EQ(Result.Refusal->Reason, "evacuations_unknown");
+  EXPECT_FALSE(Result.Selection);
+}
+
 // Guards against a target that is reported with another use than the real
 // selection makes of it.
 TEST_F(RequestExplainerTest, EachTargetHasTheReasonOfTheSelection) {
@@ -140,13 +137,13 @@
   addAllKinds();
   TimeSource.advance(30s);
   CurrentState.updateDomainHosts({HostId("h"), FailureDomain("west"), {}});
-  const Random Before = Generator;
+  const Random Before = Host.Generator;
   explain();
   explain();
-  EXPECT_EQ(Generator, Before);
+  EXPECT_EQ(Host.Generator, Before);
   EXPECT_EQ(CurrentState.findServiceStats(Stock), nullptr);
   EXPECT_TRUE(CurrentState.coldTargets().Targets.empty());
-  EXPECT_EQ(Bucket.RefilledAt, TimePoint{});
+  EXPECT_EQ(Host.Bucket.RefilledAt, TimePoint{});
   for (const char *Id : {"sound", "ejected"}) {
     const TargetStats &Stats = *CurrentState.findTargetStats(TargetId(Id));
     EXPECT_FALSE(Stats.FirstListedAt || Stats.Preference) << Id;
@@ -155,7 +152,7 @@
       CurrentState.findTargetStats(TargetId("ejected"))->Outlier.Ejected);
   EXPECT_FALSE(target("ejected").IsEjected);
   EXPECT_EQ(target("cold").Exclusion, TargetExclusion::Cold);
-  EXPECT_EQ(ProcessMetrics.text(), GatewayMetrics().text());
+  EXPECT_EQ(Host.ProcessMetrics.text(), GatewayMetrics().text());
 }
 
 // Guards against an excluded domain without its reason, and against a request
