--- a/Tests/Gateway/TestRequestExecution.cpp
+++ b/Tests/Gateway/TestRequestExecution.cpp
@@ -1513,7 +1513,7 @@
   CurrentState.applyConfiguration(std::move(Limited), "", "test");
   FakeTarget &Cold = addTarget(answerWhole);
   Cold.ChangeHealth = [](HttpResponse &Health) {
-    Health.set("Cold-Remaining", "12.5");
+    Health.set("Cold-Remaining", "12500");
   };
   begin();
   EXPECT_EQ(finish().body(), R"({"reason":"cold"})");
@@ -1521,6 +1521,26 @@
   EXPECT_EQ(Cold.Probes, 1);
 }
 
+// Guards against a target that stays out of use long after it has become warm.
+TEST_F(RequestExecutionTest, TargetIsUsedAfterTheColdTimeOfItsProbe) {
+  configure(ExecutionSemantics::Idempotent);
+  Configuration Limited = *CurrentState.configuration();
+  Limited.Version = {4};
+  Limited.Services.front().ColdRate = 1;
+  CurrentState.applyConfiguration(std::move(Limited), "", "test");
+  FakeTarget &Cold = addTarget(answerWhole);
+  Cold.ChangeHealth = [](HttpResponse &Health) {
+    Health.set("Cold-Remaining", "300");
+  };
+  begin();
+  EXPECT_EQ(finish().body(), R"({"reason":"cold"})");
+  Cold.ChangeHealth = nullptr;
+  Loop.run_for(400ms);
+  Answer.reset();
+  begin("/x/1", "r-2");
+  EXPECT_EQ(finish().result(), http::status::ok);
+}
+
 // Guards against an explanation that passes over the target of the next
 // request, and against one that names all targets.
 TEST_F(RequestExecutionTest, ExplanationNamesTheTargetOfTheNextRequest) {
--- a/Tests/platform/TestHttpCodec.cpp
+++ b/Tests/platform/TestHttpCodec.cpp
@@ -153,12 +153,13 @@
   EXPECT_TRUE(decodeProbeAnswer(Refusal).IsHealthy);
 }
 
-// Guards against a cold target that is taken for a warm one, and against odd
-// values that make a target cold for ever.
+// Guards against a cold target that is taken for a warm one, against a time in
+// milliseconds that is read as seconds, and against odd values that make a
+// target cold for ever.
 TEST(HttpCodec, DecodesTheColdTimeOfAProbe) {
   HttpResponse Health(http::status::ok, 11);
   EXPECT_EQ(decodeProbeAnswer(Health).ColdTimeLeft, std::nullopt);
-  Health.set("Cold-Remaining", "2.5");
+  Health.set("Cold-Remaining", "2500");
   EXPECT_EQ(decodeProbeAnswer(Health).ColdTimeLeft, Duration(2500ms));
   Health.set("Cold-Remaining", "0");
   EXPECT_EQ(decodeProbeAnswer(Health).ColdTimeLeft, Duration(0));
