Gateway: Let requests leave a domain after a search for a good own target

Cause: a request that stayed could use a neighbor only by gain, and only one with less than 40% of its slots busy. Most domains have more than that even in calm times, so requests were kept at slow targets, above all in services with few targets a domain.

Ruled out: the price itself (a lookup costs 0.02 of its value), and the share that leaves, which responds to full domains only.

Change: the first probes go to local targets; when none of them is good enough, the next ones may go to all domains that have slots. A target there must be better by the price of the bytes and the delay, and free. The closed loop keeps its checks and bounds.

Nothing changes without the setting.

--- a/Libraries/LibDomainChoice/DomainChoice.h
+++ b/Libraries/LibDomainChoice/DomainChoice.h
@@ -10,6 +10,9 @@
 
 namespace comfreyrill {
 
+/// A target that is slower than this is not at its usual speed.
+inline constexpr double UsualSlowdownMaximum = 1.3;
+
 /// Load of one service in one failure domain, summed over the targets that may
 /// receive requests and are not cold.
 struct DomainLoad {
--- a/Libraries/LibDomainChoice/RequestChoice.h
+++ b/Libraries/LibDomainChoice/RequestChoice.h
@@ -2,7 +2,6 @@
 
 #include <LibCore/Random.h>
 #include <LibDomainChoice/DomainChoice.h>
-#include <LibDomainChoice/GainChoice.h>
 #include <LibGateway/TargetSelection.h>
 
 #include <array>
@@ -17,6 +16,8 @@
   /// Time since the request was read.
   Duration Waited{0};
   Duration LatencyObjective{0};
+  /// Time that an idle target of usual speed needs for the request.
+  Duration WorkTime{0};
 };
 
 /// Costs of the last requests of a service if they left, the latest ones last.
@@ -31,8 +32,10 @@
   std::optional<FailureDomain> Destination;
   /// How much better a target there must be than one of the own domain.
   RemoteFactors Factors;
-  /// The domain that the further probes for a request which stays may use.
-  std::optional<GainDestination> ByGain = {};
+  /// The further probes for a request that stays may go to other domains.
+  bool MayUseNeighbors = false;
+  /// Local targets that the request may use.
+  std::size_t UsableLocalTargets = 0;
 };
 
 /// Decides whether a request may leave. Of the recent requests, those leave
--- a/Services/Gateway/DomainRouting.cpp
+++ b/Services/Gateway/DomainRouting.cpp
@@ -1,7 +1,6 @@
 #include "DomainRouting.h"
 
 #include <algorithm>
-#include <set>
 
 namespace comfreyrill {
 
@@ -104,6 +103,8 @@
   Input.Received = std::exchange(Entry.Received, 0);
   Input.Refused = std::exchange(Entry.Refused, 0);
   Input.Waiting = Entry.Waiting;
+  Entry.ClosedDomains.clear();
+  Entry.NeighborDelay = Duration::zero();
   Input.WorkTime =
       Dependencies.CurrentState.serviceStats(Service).Times.OfService.Mean;
   for (const auto &[Domain, Load] : knownLoads(Service, &Input.InFlight)) {
@@ -129,33 +130,16 @@
     Condition.IsSilent = Known == Domains.Domains.end() ||
                          !Known->second.HeardAt ||
                          Now - *Known->second.HeardAt > DomainSilentAfter;
+    if (Condition.IsSilent || Condition.Load.IsPressed)
+      Entry.ClosedDomains.insert(Domain);
+    Entry.NeighborDelay = std::max(Entry.NeighborDelay, Condition.Delay);
     Input.Others.push_back(Condition);
   }
   const bool WasSending = !Entry.State.Shares.empty();
-  const bool WasGainPossible = !Entry.GainDestinations.empty();
   updateDomainChoice(Entry.State, Input, Now);
-  Entry.GainDestinations = gainDestinations(Input, Now);
   Dependencies.ProcessMetrics.setGauge(
       metricName("domain_leaving_share", Service), leavingShare(Entry.State));
   logChange(Service, Entry.State, WasSending);
-  logGainChange(Service, Entry, WasGainPossible);
-}
-
-void DomainRouting::logGainChange(const ServiceName &Service,
-                                  const ServiceRouting &Entry,
-                                  bool WasPossible) {
-  const bool IsPossible = !Entry.GainDestinations.empty();
-  if (IsPossible == WasPossible)
-    return;
-  const std::string_view Event =
-      IsPossible ? "domain_gain_begin" : "domain_gain_end";
-  LogLine Line(Event);
-  Line.field("service", Service.Value)
-      .field("failure_domain", Dependencies.HostDomain.Value)
-      .field("destinations", joinDomains(Entry.GainDestinations))
-      .field("left_by_share", leftCounter(Service, LeftByShare))
-      .field("left_by_gain", leftCounter(Service, LeftByGain));
-  Dependencies.Events.write(LogLevel::Info, Event, Line);
 }
 
 std::uint64_t &DomainRouting::leftCounter(const ServiceName &Service,
@@ -234,17 +218,18 @@
 
 void DomainRouting::restrict(const ServiceName &Service, RequestChoice &Choice,
                              std::vector<TargetCandidate> &Candidates) const {
+  const auto Entry = Services.find(Service);
   const DomainChoiceState *State = state(Service);
-  const bool HasLocal = std::any_of(
+  Choice.UsableLocalTargets = static_cast<std::size_t>(std::count_if(
       Candidates.begin(), Candidates.end(), [](const TargetCandidate &Target) {
         return Target.IsInLocalDomain && !Target.IsSuspect;
-      });
+      }));
   // A request that stays and has no local target left is better served
   // elsewhere than rejected, unless that is known to be in vain.
   const bool IsKnownInVain =
       State != nullptr && State->IsOwnLost && !State->Allowances.empty();
-  if (!Choice.Destination && !HasLocal) {
-    Choice.ByGain.reset();
+  if (!Choice.Destination && Choice.UsableLocalTargets == 0) {
+    Choice.MayUseNeighbors = false;
     if (!IsKnownInVain)
       return;
   }
@@ -256,43 +241,34 @@
                                       .Registration.Domain;
     if (Choice.Destination)
       return Domain != *Choice.Destination;
-    return !Choice.ByGain || Domain != Choice.ByGain->Domain ||
-           Target.IsSuspect || Target.IsOnProbation || Target.IsCold;
+    return !Choice.MayUseNeighbors || Entry == Services.end() ||
+           Entry->second.ClosedDomains.contains(Domain) || Target.IsSuspect ||
+           Target.IsOnProbation || Target.IsCold;
   });
 }
 
-std::vector<TargetCandidate> DomainRouting::selectProbes(
-    const ServiceName &Service, const RequestChoice &Choice,
-    std::vector<TargetCandidate> Candidates, std::size_t Count) {
-  if (!Choice.ByGain)
-    return selectProbeCandidates(std::move(Candidates), Count,
-                                 Dependencies.Generator, Choice.Factors);
-  return selectProbesByGain(std::move(Candidates), Count,
-                            Services[Service].Credit, Dependencies.Generator,
-                            Choice.Factors);
-}
-
 std::optional<std::size_t> DomainRouting::select(
-    const ServiceName &Service, const Route &Matched, GainRequest Request,
+    const ServiceName &Service, const Route &Matched, LeavingRequest Request,
     const std::vector<ProbedCandidate> &Probed, RequestChoice &Choice) {
-  ServiceRouting &Entry = Services[Service];
-  const bool HasLocal = std::any_of(Probed.begin(), Probed.end(),
-                                    [](const ProbedCandidate &Candidate) {
-                                      return Candidate.Target.IsInLocalDomain;
-                                    });
-  // Without a local target the request uses whatever restrict() has left.
-  if (Choice.Destination || (!HasLocal && !Choice.ByGain))
+  if (Choice.Destination)
     return selectTarget(Probed, Choice.Factors);
+  const auto Best = selectStaying(Probed, Choice.Factors);
+  if (Best && isGoodEnough(Probed[*Best]))
+    return Best;
+  const ServiceRouting &Entry = Services[Service];
   Request.Bytes += responseBytes(Entry, Matched);
-  const auto Best =
-      selectByGain(Probed, Request, Choice.ByGain, BytePrice, Choice.Factors);
-  const bool IsLocalBest = Best && Probed[*Best].Target.IsInLocalDomain;
-  const TimePoint Now = Dependencies.TimeSource.now();
-  if (IsLocalBest)
-    Choice.ByGain = chooseByGain(Entry.GainDestinations, Request, Probed,
-                                 BytePrice, Now, Dependencies.Generator);
-  else if (!Best && Choice.ByGain && Now > Choice.ByGain->KnownUntil)
-    Choice.ByGain.reset();
+  LocalSearch Search;
+  Search.Utilization = Entry.State.OwnUtilization;
+  Search.ProbedTargets = static_cast<std::size_t>(std::count_if(
+      Probed.begin(), Probed.end(), [](const ProbedCandidate &Candidate) {
+        return Candidate.Target.IsInLocalDomain;
+      }));
+  Search.UsableTargets = Choice.UsableLocalTargets;
+  Search.Delay = Entry.NeighborDelay;
+  if (const auto Factors = factorsForNeighbors(Request, Search, BytePrice)) {
+    Choice.Factors = *Factors;
+    Choice.MayUseNeighbors = true;
+  }
   return Best;
 }
 
@@ -322,11 +298,10 @@
   Metrics.counter(metricName("bytes_to_other_domains_total", Service)) +=
       RequestBytes;
   const std::string_view Reason = Choice.Destination ? LeftByShare
-                                  : Choice.ByGain    ? LeftByGain
-                                                     : LeftWithoutLocalTarget;
+                                  : Choice.MayUseNeighbors
+                                      ? LeftByGain
+                                      : LeftWithoutLocalTarget;
   ++leftCounter(Service, Reason);
-  if (Reason == LeftByGain)
-    recordTaken(Services[Service].Credit);
   return Reason;
 }
 
--- a/Services/Gateway/DomainRouting.h
+++ b/Services/Gateway/DomainRouting.h
@@ -2,11 +2,13 @@
 
 #include "GatewayDependencies.h"
 
+#include <LibDomainChoice/NeighborChoice.h>
 #include <LibDomainChoice/RequestChoice.h>
 #include <LibMembership/DomainTable.h>
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -39,20 +41,19 @@
   /// counts as one whose requests stay.
   RequestChoice preview(const ServiceName &Service, const Route &Matched,
                         std::size_t RequestBytes, Random &Other) const;
-  /// Removes the candidates that the request may not use.
+  /// Removes the candidates that the request may not use, and counts the usable
+  /// local ones.
   void restrict(const ServiceName &Service, RequestChoice &Choice,
                 std::vector<TargetCandidate> &Candidates) const;
   /// Returns the decision in force, or null for a service without requests so
   /// far.
   const DomainChoiceState *state(const ServiceName &Service) const;
-  /// Selects the candidates to probe.
-  std::vector<TargetCandidate>
-  selectProbes(const ServiceName &Service, const RequestChoice &Choice,
-               std::vector<TargetCandidate> Candidates, std::size_t Count);
   /// Returns the index of the target to use, and decides whether the further
-  /// probes of a request that stays may go to another domain for their gain.
+  /// probes of a request that stays may go to other domains. Request has the
+  /// bytes of the request only.
   std::optional<std::size_t> select(const ServiceName &Service,
-                                    const Route &Matched, GainRequest Request,
+                                    const Route &Matched,
+                                    LeavingRequest Request,
                                     const std::vector<ProbedCandidate> &Probed,
                                     RequestChoice &Choice);
   /// Counts requests that wait for a slot.
@@ -83,8 +84,11 @@
     DomainChoiceState State;
     RecentCosts Recent;
     std::map<FailureDomain, ReportedDomainLoad> Reports;
-    std::vector<GainDestination> GainDestinations;
-    GainCredit Credit;
+    /// Domains that single requests may not use: their own requests find no
+    /// slots, or they have not been heard from.
+    std::set<FailureDomain> ClosedDomains;
+    /// Largest one-way delay to the other domains, as far as it is known.
+    Duration NeighborDelay{0};
     std::map<std::string, double> ResponseBytesByRoute;
     double Received = 0;
     double Refused = 0;
@@ -108,8 +112,6 @@
   /// Counter of the requests that have left the failure domain for a reason.
   std::uint64_t &leftCounter(const ServiceName &Service,
                              std::string_view Reason);
-  void logGainChange(const ServiceName &Service, const ServiceRouting &Entry,
-                     bool WasPossible);
 
   const GatewayDependencies &Dependencies;
   const DomainTable &Domains;
--- a/Services/Gateway/RequestExecution.cpp
+++ b/Services/Gateway/RequestExecution.cpp
@@ -329,28 +329,20 @@
   for (TargetCandidate &Candidate : Candidates)
     Candidate.HasIdleConnection = Dependencies.Pool.hasIdle(
         Registered.at(Candidate.Id).Registration.Address);
-  co_return co_await Prober.run(selectProbes(std::move(Candidates), Allowed),
-                                Service, HealthPath, IdDigest, Deadline);
-}
-
-std::vector<TargetCandidate>
-RequestExecution::selectProbes(std::vector<TargetCandidate> Candidates,
-                               std::size_t Count) {
-  if (Dependencies.Domains != nullptr)
-    return Dependencies.Domains->selectProbes(Service, DomainChoice,
-                                              std::move(Candidates), Count);
-  return selectProbeCandidates(std::move(Candidates), Count,
-                               Dependencies.Generator, DomainChoice.Factors);
+  co_return co_await Prober.run(
+      selectProbeCandidates(std::move(Candidates), Allowed,
+                            Dependencies.Generator, DomainChoice.Factors),
+      Service, HealthPath, IdDigest, Deadline);
 }
 
 std::optional<std::size_t>
 RequestExecution::selectFound(const std::vector<ProbedCandidate> &Probed) {
   if (Dependencies.Domains == nullptr)
     return selectTarget(Probed, DomainChoice.Factors);
-  const GainRequest Gain{static_cast<double>(Request.body().size()),
-                         Dependencies.TimeSource.now() - ReceivedAt,
-                         SelectedRoute->LatencyObjective, workTime()};
-  return Dependencies.Domains->select(Service, *SelectedRoute, Gain, Probed,
+  const LeavingRequest Leaving{static_cast<double>(Request.body().size()),
+                               Dependencies.TimeSource.now() - ReceivedAt,
+                               SelectedRoute->LatencyObjective, workTime()};
+  return Dependencies.Domains->select(Service, *SelectedRoute, Leaving, Probed,
                                       DomainChoice);
 }
 
@@ -467,8 +459,8 @@
 
 Awaitable<std::optional<ConnectedTarget>>
 RequestExecution::findTargetFromCachedLoad() {
-  // Another domain is used for its gain only after a probe.
-  DomainChoice.ByGain.reset();
+  // A request that stays uses another domain only after a probe.
+  DomainChoice.MayUseNeighbors = false;
   const auto Candidates = usableCandidates();
   const auto Index = selectFromCachedLoad(Candidates, Dependencies.Generator);
   if (!Index)
--- a/Services/Gateway/RequestExecution.h
+++ b/Services/Gateway/RequestExecution.h
@@ -79,8 +79,6 @@
   /// Connects to a target that a recent load report shows to be free, without
   /// probing it.
   Awaitable<std::optional<ConnectedTarget>> findTargetFromCachedLoad();
-  std::vector<TargetCandidate>
-  selectProbes(std::vector<TargetCandidate> Candidates, std::size_t Count);
   /// Returns the index of the best target that was found.
   std::optional<std::size_t>
   selectFound(const std::vector<ProbedCandidate> &Probed);
--- a/Tests/Gateway/TestDomainRouting.cpp
+++ b/Tests/Gateway/TestDomainRouting.cpp
@@ -161,6 +161,45 @@
   EXPECT_EQ(CountFor({FailureDomain("east"), {}}), 20U);
 }
 
+// Guards against a request that is kept at slow local targets while neighbors
+// have free ones, and against its use of a domain that needs its own slots or
+// has not been heard from.
+TEST(DomainRouting, NeighborsAreUsedWhenNoLocalTargetIsGood) {
+  PressedHost Pressed;
+  Pressed.run(1, 4);
+  ProbedCandidate Slow;
+  Slow.Target.IsInLocalDomain = true;
+  Slow.Load.Slots = 2;
+  Slow.Load.Slowdown = 4;
+  const auto CountFor = [&](const ProbedCandidate &Probed) {
+    const auto Listed = [&] {
+      return Pressed.Host.CurrentState
+          .candidates(Pressed.Service, FailureDomain("west"))
+          .Targets;
+    };
+    RequestChoice Choice;
+    auto Candidates = Listed();
+    Pressed.Host.Routing->restrict(Pressed.Service, Choice, Candidates);
+    Pressed.Host.Routing->select(Pressed.Service, route(),
+                                 {500, 0ms, 250ms, 90ms}, {Probed}, Choice);
+    Candidates = Listed();
+    Pressed.Host.Routing->restrict(Pressed.Service, Choice, Candidates);
+    return Candidates.size();
+  };
+  EXPECT_EQ(CountFor(Slow), 30U);
+  ProbedCandidate Good = Slow;
+  Good.Load.Slowdown = 1;
+  EXPECT_EQ(CountFor(Good), 10U);
+  Pressed.Host.Routing->recordReport(
+      Pressed.Service, FailureDomain("east"),
+      {{10, 10, 20, 20, 1, true}, Pressed.TimeSource.now() + 1ms, 1400us});
+  Pressed.Host.Routing->update();
+  EXPECT_EQ(CountFor(Slow), 20U);
+  Pressed.TimeSource.advance(4s);
+  Pressed.Host.Routing->update();
+  EXPECT_EQ(CountFor(Slow), 10U);
+}
+
 // Guards against a request without local targets that is refused although a
 // neighbor has some.
 TEST(DomainRouting, DomainWithoutTargetsSendsTheFirstRequest) {
--- a/Tests/LibDomainChoice/TestSpeedLoop.cpp
+++ b/Tests/LibDomainChoice/TestSpeedLoop.cpp
@@ -1,4 +1,4 @@
-#include <LibDomainChoice/GainChoice.h>
+#include <LibDomainChoice/NeighborChoice.h>
 #include <LibDomainChoice/RequestChoice.h>
 #include <LibGateway/Admission.h>
 #include <LibGateway/ProbeTokenBucket.h>
@@ -32,14 +32,13 @@
 constexpr double Capacity = TargetCount * SlotCount / CongestionFactor *
                             (0.7 + 0.3 / SlowFactor) / 0.09;
 
-enum class Policy { FixedFactors, ShareOnly, ShareAndGain };
+enum class Policy { FixedFactors, ShareOnly, ShareAndNeighbors };
 
 struct SpeedHost {
   DomainChoiceState State;
   RecentCosts Recent;
   DomainChoiceInput Counts;
-  std::vector<GainDestination> Destinations;
-  GainCredit Credit;
+  std::array<bool, DomainCount> IsClosed{};
   ProbeTokenBucket Tokens;
 };
 
@@ -221,14 +220,14 @@
   }
 
   std::vector<TargetCandidate>
-  candidates(std::size_t Index, const RequestChoice &Choice,
+  candidates(std::size_t Index, const SpeedHost &Host,
+             const RequestChoice &Choice,
              const std::vector<ProbedCandidate> &Probed) const {
     std::vector<TargetCandidate> Listed;
     for (std::size_t Other = 0; Other < DomainCount; ++Other) {
-      const bool MayUse =
-          Other == Index || Decision == Policy::FixedFactors ||
-          Choice.Destination == nameOf(Other) ||
-          (Choice.ByGain && Choice.ByGain->Domain == nameOf(Other));
+      const bool MayUse = Other == Index || Decision == Policy::FixedFactors ||
+                          Choice.Destination == nameOf(Other) ||
+                          (Choice.MayUseNeighbors && !Host.IsClosed[Other]);
       for (std::size_t Number = 0; MayUse && Number < TargetCount; ++Number) {
         TargetCandidate Made;
         Made.Id = TargetId(nameOf(Other).Value + std::to_string(Number));
@@ -252,17 +251,27 @@
   std::optional<std::size_t>
   select(SpeedHost &Host, SearchingOne &Request,
          const std::vector<ProbedCandidate> &Probed) {
-    if (Decision != Policy::ShareAndGain || Request.Choice.Destination)
+    if (Decision != Policy::ShareAndNeighbors || Request.Choice.Destination)
       return selectTarget(Probed, Request.Choice.Factors);
-    const GainRequest Gain{bytes(Request.IsUpload),
-                           TimeSource.now() - Request.ArrivedAt,
-                           objective(Request.IsUpload), 90ms};
-    const auto Best = selectByGain(Probed, Gain, Request.Choice.ByGain,
-                                   BytePrice, Request.Choice.Factors);
-    if (Best && Probed[*Best].Target.IsInLocalDomain)
-      Request.Choice.ByGain =
-          chooseByGain(Host.Destinations, Gain, Probed, BytePrice,
-                       TimeSource.now(), Generator);
+    const auto Best = selectStaying(Probed, Request.Choice.Factors);
+    if (Best && isGoodEnough(Probed[*Best]))
+      return Best;
+    LocalSearch Search;
+    Search.Utilization = Host.State.OwnUtilization;
+    Search.ProbedTargets = static_cast<std::size_t>(
+        std::count_if(Probed.begin(), Probed.end(), [](const auto &Found) {
+          return Found.Target.IsInLocalDomain;
+        }));
+    Search.UsableTargets = TargetCount;
+    Search.Delay = Delay;
+    const auto Factors = factorsForNeighbors(
+        {bytes(Request.IsUpload), TimeSource.now() - Request.ArrivedAt,
+         objective(Request.IsUpload), 90ms},
+        Search, BytePrice);
+    if (Factors) {
+      Request.Choice.Factors = *Factors;
+      Request.Choice.MayUseNeighbors = true;
+    }
     return Best;
   }
 
@@ -278,13 +287,9 @@
           Host.Tokens,
           {ProbesPerTarget, DomainCount * TargetCount, DomainCount * HostCount},
           Demand, Now);
-      auto Listed = candidates(Index, Request.Choice, Probed);
-      for (TargetCandidate &Chosen :
-           Request.Choice.ByGain
-               ? selectProbesByGain(std::move(Listed), Allowed, Host.Credit,
-                                    Generator, Request.Choice.Factors)
-               : selectProbeCandidates(std::move(Listed), Allowed, Generator,
-                                       Request.Choice.Factors)) {
+      auto Listed = candidates(Index, Host, Request.Choice, Probed);
+      for (TargetCandidate &Chosen : selectProbeCandidates(
+               std::move(Listed), Allowed, Generator, Request.Choice.Factors)) {
         SpeedTarget &Target = targetOf(Chosen.Id);
         Target.Known[Index] = Target.report();
         Target.KnownAt[Index] = Now;
@@ -322,8 +327,6 @@
       Both = 4 * Delay;
       ++Domain.Left;
       Domain.Bytes += bytes(Request.IsUpload);
-      if (!Request.Choice.Destination)
-        recordTaken(Domain.Hosts[Request.Host].Credit);
     }
     targetOf(Chosen.Id).Running.push_back(
         {0.09 * uniform(0.5, 1.5), Index,
@@ -346,10 +349,10 @@
             TimeSource.now() - Domains[Other].SummaryAt + 200ms, Delay};
         if (!needsOtherDomains(Domains[Index].Seen))
           Condition.Load.KnownTargets = 0;
+        Host.IsClosed[Other] = Condition.Load.IsPressed;
         Input.Others.push_back(Condition);
       }
     updateDomainChoice(Host.State, Input, TimeSource.now());
-    Host.Destinations = gainDestinations(Input, TimeSource.now());
   }
 
   static constexpr double ProbesPerTarget = 60;
@@ -417,25 +420,26 @@
   for (const double Demand : {0.3, 0.7, 1.0, 1.3}) {
     const Figures Fixed = figures(Policy::FixedFactors, Demand, 0.4);
     figures(Policy::ShareOnly, Demand, 0.4);
-    const Figures Gain = figures(Policy::ShareAndGain, Demand, 0.4);
+    const Figures Chosen = figures(Policy::ShareAndNeighbors, Demand, 0.4);
     for (std::size_t Index = 0; Index < DomainCount; ++Index)
-      EXPECT_GT(Gain.InTime[Index], Fixed.InTime[Index] - Tolerance)
+      EXPECT_GT(Chosen.InTime[Index], Fixed.InTime[Index] - Tolerance)
           << Demand << " " << Index;
-    EXPECT_LT(Gain.Megabytes, 0.6 * Fixed.Megabytes) << Demand;
+    EXPECT_LT(Chosen.Megabytes, 0.6 * Fixed.Megabytes) << Demand;
   }
 }
 
 // Guards against domains that exchange requests while all are short of slots.
 TEST(SpeedLoop, FewProbesLeaveWhileAllDomainsAreShort) {
   for (const double Demand : {1.0, 1.3})
-    EXPECT_LT(figures(Policy::ShareAndGain, Demand, Demand).OtherProbesMaximum,
-              0.1);
+    EXPECT_LT(
+        figures(Policy::ShareAndNeighbors, Demand, Demand).OtherProbesMaximum,
+        0.1);
 }
 
 // Guards against requests that leave on a calm day, with 30% of the slots busy.
 TEST(SpeedLoop, FewRequestsLeaveOnACalmDay) {
   for (const double Demand : {0.3, 0.5})
-    EXPECT_LT(figures(Policy::ShareAndGain, Demand, Demand).Left, 0.02);
+    EXPECT_LT(figures(Policy::ShareAndNeighbors, Demand, Demand).Left, 0.02);
 }
 
 } // namespace
