Gateway: Count requests without local targets as such

What operators saw: requests_left_domain_total named the reason gain, which says that free targets of the own domain are slow, for requests of a domain without targets, if the first probe elsewhere found a busy one.

Cause: the search for a good local target counted as done with none to search, which marked the request as one that may use neighbors.

Change: a request without usable local targets is not marked; restrict() has left it all targets of other domains already.

Test: DomainRouting.RequestWithoutLocalTargetsIsCountedAsSuch failed with "gain" before and passes now.

--- a/Libraries/LibDomainChoice/RequestChoice.h
+++ b/Libraries/LibDomainChoice/RequestChoice.h
@@ -34,7 +34,7 @@
   RemoteFactors Factors;
   /// The further probes for a request that stays may go to other domains.
   bool MayUseNeighbors = false;
-  /// Local targets that the request may use.
+  /// Local targets that the request may use, counted with its candidates.
   std::size_t UsableLocalTargets = 0;
 };
 
--- a/Services/Gateway/DomainRouting.cpp
+++ b/Services/Gateway/DomainRouting.cpp
@@ -253,7 +253,8 @@
   if (Choice.Destination)
     return selectTarget(Probed, Choice.Factors);
   const auto Best = selectStaying(Probed, Choice.Factors);
-  if (Best && isGoodEnough(Probed[*Best]))
+  // Without local targets, restrict() has left all others already.
+  if (Choice.UsableLocalTargets == 0 || (Best && isGoodEnough(Probed[*Best])))
     return Best;
   const ServiceRouting &Entry = Services[Service];
   Request.Bytes += responseBytes(Entry, Matched);
--- a/Tests/Gateway/TestDomainRouting.cpp
+++ b/Tests/Gateway/TestDomainRouting.cpp
@@ -214,6 +214,30 @@
   EXPECT_EQ(Choice.Factors.Selection, 1);
 }
 
+// Guards against an operator who is told that local targets are slow when there
+// are none.
+TEST(DomainRouting, RequestWithoutLocalTargetsIsCountedAsSuch) {
+  asio::io_context Loop{1};
+  ManualClock TimeSource;
+  RoutingHost Host(Loop, TimeSource);
+  const ServiceName Service("stock");
+  Host.CurrentState.applyTargetList({target("a", "stock", "east")}, {1},
+                                    "store");
+  RequestChoice Choice;
+  auto Candidates =
+      Host.CurrentState.candidates(Service, FailureDomain("west")).Targets;
+  Host.Routing->restrict(Service, Choice, Candidates);
+  ASSERT_EQ(Candidates.size(), 1U);
+  ProbedCandidate Busy;
+  Busy.Target = Candidates.front();
+  Busy.Load.Slots = Busy.Load.InFlight = 2;
+  EXPECT_EQ(Host.Routing->select(Service, route(), {500, 0ms, 250ms, 90ms},
+                                 {Busy}, Choice),
+            0U);
+  EXPECT_EQ(Host.Routing->recordAttempt(Service, Busy.Target, Choice, 500),
+            "no_local_target");
+}
+
 // Guards against bytes that cross domains without being counted.
 TEST(DomainRouting, RequestsAndBytesToOtherDomainsAreCounted) {
   asio::io_context Loop{1};
