LibDomainChoice: Widen the search of a request in one place

Cause: DomainRouting and the closed loop without a network each built the input of factorsForNeighbors() and set its result on the choice, so the loop tested a copy of the decision.

Change: widenSearch() does both; the two call it. No behaviour changes.

--- a/Libraries/LibDomainChoice/NeighborChoice.cpp
+++ b/Libraries/LibDomainChoice/NeighborChoice.cpp
@@ -49,6 +49,27 @@
                        Minimum.Probe * Selection / Minimum.Selection};
 }
 
+void widenSearch(RequestChoice &Choice,
+                 const std::vector<ProbedCandidate> &Probed,
+                 const LeavingRequest &Request, double Utilization,
+                 Duration NeighborDelay, double BytePrice) {
+  if (Choice.UsableLocalTargets == 0)
+    return;
+  LocalSearch Search;
+  Search.Utilization = Utilization;
+  Search.ProbedTargets = static_cast<std::size_t>(std::count_if(
+      Probed.begin(), Probed.end(), [](const ProbedCandidate &Candidate) {
+        return Candidate.Target.IsInLocalDomain;
+      }));
+  Search.UsableTargets = Choice.UsableLocalTargets;
+  Search.Delay = NeighborDelay;
+  const auto Factors = factorsForNeighbors(Request, Search, BytePrice);
+  if (!Factors)
+    return;
+  Choice.Factors = *Factors;
+  Choice.MayUseNeighbors = true;
+}
+
 std::optional<std::size_t>
 selectStaying(const std::vector<ProbedCandidate> &Probed,
               const RemoteFactors &Factors) {
--- a/Libraries/LibDomainChoice/NeighborChoice.h
+++ b/Libraries/LibDomainChoice/NeighborChoice.h
@@ -28,6 +28,16 @@
                                                  const LocalSearch &Search,
                                                  double BytePrice);
 
+/// Lets the further probes for a request that stays go to other domains if
+/// factorsForNeighbors() allows it after the probes so far. Utilization is that
+/// of the own domain, NeighborDelay the largest one-way delay to another one.
+/// Without usable local targets nothing changes, because such a request may use
+/// all others already.
+void widenSearch(RequestChoice &Choice,
+                 const std::vector<ProbedCandidate> &Probed,
+                 const LeavingRequest &Request, double Utilization,
+                 Duration NeighborDelay, double BytePrice);
+
 /// Returns the index of the target for a request that stays. A target of
 /// another domain is used only if it is free and at its usual speed, or if no
 /// local one was probed.
--- a/Services/Gateway/DomainRouting.cpp
+++ b/Services/Gateway/DomainRouting.cpp
@@ -253,23 +253,12 @@
   if (Choice.Destination)
     return selectTarget(Probed, Choice.Factors);
   const auto Best = selectStaying(Probed, Choice.Factors);
-  // Without local targets, restrict() has left all others already.
-  if (Choice.UsableLocalTargets == 0 || (Best && isGoodEnough(Probed[*Best])))
+  if (Best && isGoodEnough(Probed[*Best]))
     return Best;
   const ServiceRouting &Entry = Services[Service];
   Request.Bytes += responseBytes(Entry, Matched);
-  LocalSearch Search;
-  Search.Utilization = Entry.State.OwnUtilization;
-  Search.ProbedTargets = static_cast<std::size_t>(std::count_if(
-      Probed.begin(), Probed.end(), [](const ProbedCandidate &Candidate) {
-        return Candidate.Target.IsInLocalDomain;
-      }));
-  Search.UsableTargets = Choice.UsableLocalTargets;
-  Search.Delay = Entry.NeighborDelay;
-  if (const auto Factors = factorsForNeighbors(Request, Search, BytePrice)) {
-    Choice.Factors = *Factors;
-    Choice.MayUseNeighbors = true;
-  }
+  widenSearch(Choice, Probed, Request, Entry.State.OwnUtilization,
+              Entry.NeighborDelay, BytePrice);
   return Best;
 }
 
--- a/Tests/LibDomainChoice/TestSpeedLoop.cpp
+++ b/Tests/LibDomainChoice/TestSpeedLoop.cpp
@@ -249,29 +249,18 @@
   }
 
   std::optional<std::size_t>
-  select(SpeedHost &Host, SearchingOne &Request,
+  select(const SpeedHost &Host, SearchingOne &Request,
          const std::vector<ProbedCandidate> &Probed) {
     if (Decision != Policy::ShareAndNeighbors || Request.Choice.Destination)
       return selectTarget(Probed, Request.Choice.Factors);
     const auto Best = selectStaying(Probed, Request.Choice.Factors);
     if (Best && isGoodEnough(Probed[*Best]))
       return Best;
-    LocalSearch Search;
-    Search.Utilization = Host.State.OwnUtilization;
-    Search.ProbedTargets = static_cast<std::size_t>(
-        std::count_if(Probed.begin(), Probed.end(), [](const auto &Found) {
-          return Found.Target.IsInLocalDomain;
-        }));
-    Search.UsableTargets = TargetCount;
-    Search.Delay = Delay;
-    const auto Factors = factorsForNeighbors(
-        {bytes(Request.IsUpload), TimeSource.now() - Request.ArrivedAt,
-         objective(Request.IsUpload), 90ms},
-        Search, BytePrice);
-    if (Factors) {
-      Request.Choice.Factors = *Factors;
-      Request.Choice.MayUseNeighbors = true;
-    }
+    Request.Choice.UsableLocalTargets = TargetCount;
+    widenSearch(Request.Choice, Probed,
+                {bytes(Request.IsUpload), TimeSource.now() - Request.ArrivedAt,
+                 objective(Request.IsUpload), 90ms},
+                Host.State.OwnUtilization, Delay, BytePrice);
     return Best;
   }
 
