Gateway: Look the routing of a service up once when candidates are restricted

Cause: restrict() found the entry of the service by name, and then a second time through state().

Change: it takes the decision from the entry that it has. No behaviour changes.

--- a/Services/Gateway/DomainRouting.cpp
+++ b/Services/Gateway/DomainRouting.cpp
@@ -219,18 +219,18 @@
 void DomainRouting::restrict(const ServiceName &Service, RequestChoice &Choice,
                              std::vector<TargetCandidate> &Candidates) const {
   const auto Entry = Services.find(Service);
-  const DomainChoiceState *State = state(Service);
+  const bool IsKnown = Entry != Services.end();
   Choice.UsableLocalTargets = static_cast<std::size_t>(std::count_if(
       Candidates.begin(), Candidates.end(), [](const TargetCandidate &Target) {
         return Target.IsInLocalDomain && !Target.IsSuspect;
       }));
   // A request that stays and has no local target left is better served
   // elsewhere than rejected, unless that is known to be in vain.
-  const bool IsKnownInVain =
-      State != nullptr && State->IsOwnLost && !State->Allowances.empty();
+  const bool IsInVain = IsKnown && Entry->second.State.IsOwnLost &&
+                        !Entry->second.State.Allowances.empty();
   if (!Choice.Destination && Choice.UsableLocalTargets == 0) {
     Choice.MayUseNeighbors = false;
-    if (!IsKnownInVain)
+    if (!IsInVain)
       return;
   }
   std::erase_if(Candidates, [&](const TargetCandidate &Target) {
@@ -241,7 +241,7 @@
                                       .Registration.Domain;
     if (Choice.Destination)
       return Domain != *Choice.Destination;
-    return !Choice.MayUseNeighbors || Entry == Services.end() ||
+    return !Choice.MayUseNeighbors || !IsKnown ||
            Entry->second.ClosedDomains.contains(Domain) || Target.IsSuspect ||
            Target.IsOnProbation || Target.IsCold;
   });
