Tests/Gateway: Configure the limit of cold targets in one place

Cause: three tests built the same configuration with the same five lines.

Change: configureColdLimit() of the fixture does it; the assertions are the same.

--- a/Tests/Gateway/TestRequestExecution.cpp
+++ b/Tests/Gateway/TestRequestExecution.cpp
@@ -263,6 +263,16 @@
     return finish();
   }
 
+  /// Configures a limit for cold targets. This host has no share of it, because
+  /// it does not know the hosts of its domain.
+  void configureColdLimit() {
+    configure(ExecutionSemantics::Idempotent);
+    Configuration Limited = *CurrentState.configuration();
+    Limited.Version = {4};
+    Limited.Services.front().ColdRate = 1;
+    CurrentState.applyConfiguration(std::move(Limited), "", "test");
+  }
+
   HttpResponse finish() {
     // The loop stops when nothing is left to do after a former request.
     Loop.restart();
@@ -1484,11 +1494,7 @@
 // Guards against a request beyond what the cold targets bear that is sent or
 // held, and against a caller that is told to come back at once.
 TEST_F(RequestExecutionTest, ColdServiceRefusesAtOnceWhatItDoesNotBear) {
-  configure(ExecutionSemantics::Idempotent);
-  Configuration Limited = *CurrentState.configuration();
-  Limited.Version = {4};
-  Limited.Services.front().ColdRate = 1;
-  CurrentState.applyConfiguration(std::move(Limited), "", "test");
+  configureColdLimit();
   FakeTarget &Cold = addTarget(answerWhole);
   CurrentState.recordCold({TargetId("i-1"), 0}, 1min, SignalSource::Probe);
   const TimePoint Begin = TimeSource.now();
@@ -1506,11 +1512,7 @@
 // Guards against a request to a target that says in its answer to the probe
 // that it is cold, and of which this host may send nothing.
 TEST_F(RequestExecutionTest, ProbeTellsThatTheTargetIsCold) {
-  configure(ExecutionSemantics::Idempotent);
-  Configuration Limited = *CurrentState.configuration();
-  Limited.Version = {4};
-  Limited.Services.front().ColdRate = 1;
-  CurrentState.applyConfiguration(std::move(Limited), "", "test");
+  configureColdLimit();
   FakeTarget &Cold = addTarget(answerWhole);
   Cold.ChangeHealth = [](HttpResponse &Health) {
     Health.set("Cold-Remaining", "12500");
@@ -1523,11 +1525,7 @@
 
 // Guards against a target that stays out of use long after it has become warm.
 TEST_F(RequestExecutionTest, TargetIsUsedAfterTheColdTimeOfItsProbe) {
-  configure(ExecutionSemantics::Idempotent);
-  Configuration Limited = *CurrentState.configuration();
-  Limited.Version = {4};
-  Limited.Services.front().ColdRate = 1;
-  CurrentState.applyConfiguration(std::move(Limited), "", "test");
+  configureColdLimit();
   FakeTarget &Cold = addTarget(answerWhole);
   Cold.ChangeHealth = [](HttpResponse &Health) {
     Health.set("Cold-Remaining", "300");
