Review: Case 6, a planned stop cuts answers that are being written

What: a script with three gateways, one of which gets a SIGTERM, and clients that read large answers over links of 7.2 Mbit/s. The drain begins requests as if answers were written at once, and ends the process while it still writes them.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,10 +1,10 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of review/7 to review/10. They are Python programs of the
+# Builds the stand-ins of review/6 to review/10. They are Python programs of the
 # standard library, so this only checks that they can be compiled here. The
 # gateway comes from the build line of deploy/system.toml.
 set -euo pipefail
 cd "$(dirname "$0")"
-for File in lib2/*.py [7-9]/*.py 10/*.py; do
+for File in lib2/*.py [6-9]/*.py 10/*.py; do
   [ -f "$File" ] || continue
   python3 - "$File" <<'PYTHON'
 import sys
