--- a/review/lib2/stage.py
+++ b/review/lib2/stage.py
@@ -27,10 +27,21 @@
 DISRUPTED = os.environ.get("TROUBLE", "1") != "0"
 
 
+DRAWN_PORTS = set()
+
+
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Returns a port that is drawn once, outside the range for client sockets."""
+    while True:
+        port = random.randrange(15000, 30000)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in DRAWN_PORTS:
+            DRAWN_PORTS.add(port)
+            return port
 
 
 class Record:
@@ -242,7 +253,9 @@
                 writer.write(encode("HTTP/1.1 400 Bad Request", {"Not-Executed": "1"}))
                 await writer.drain()
                 continue
-            if self.running >= self.slots and self.waiting >= 2 * self.slots:
+            if self.sheds() or (self.running >= self.slots
+                                and self.waiting >= 2 * self.slots):
+                self.record.write("rejected, not run", request, self.name)
                 writer.write(encode("HTTP/1.1 503 Service Unavailable",
                                     {"Not-Executed": "1", "Request-Id": request}))
                 await writer.drain()
@@ -259,6 +272,9 @@
             if not await self.answer(writer, method, request, body):
                 return
 
+    def sheds(self):
+        return False
+
     async def answer(self, writer, method, request, body):
         text = self.text_for(request)
         writer.write(self.whole_answer(method, request, text))
@@ -385,6 +401,8 @@
                     raise RuntimeError(f"{gateway.name} isn't ready")
                 await asyncio.sleep(0.05)
         await asyncio.sleep(1)
+        self.record.write("desired state", json.dumps(desired))
+        self.record.write("bounds", json.dumps(BOUNDS))
         self.record.write("ready", len(self.gateways), "gateways")
 
     async def close(self):
