Gateway: Log the request limits that targets name

A target in need names in its answers how many requests per second it takes from all hosts together. Each host now records the limits by process, logs their begin, change and end with the kind of answer, and counts them. Requests are routed as before.

An answer without the header ends a limit only if its request was sent after the limit was named, because answers overtake each other; an answer to a probe only where probes have named it.

--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -33,6 +33,9 @@
   bool IsLeaving = false;
   /// Time for which the target wants nothing from this host.
   std::optional<Duration> Pause;
+  /// Requests per second that the target takes from all hosts together; unset
+  /// when the answer names no limit.
+  std::optional<double> RateLimit;
 };
 
 /// Decoded properties of a target's answer to a request.
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -328,6 +328,13 @@
   ProcessMetrics.counter("targets_leaving_total") = Signalled.Leaving;
   ProcessMetrics.counter("targets_paused_total") = Signalled.Paused;
   ProcessMetrics.counter("targets_resumed_total") = Signalled.Resumed;
+  const RateLimitCounts &Limited = CurrentState.rateLimits().counts();
+  ProcessMetrics.setGauge(
+      "rate_limited_targets",
+      static_cast<double>(CurrentState.rateLimits().size()));
+  ProcessMetrics.counter("target_rate_limits_begun_total") = Limited.Begun;
+  ProcessMetrics.counter("target_rate_limits_changed_total") = Limited.Changed;
+  ProcessMetrics.counter("target_rate_limits_ended_total") = Limited.Ended;
   const MessageMemory &Messages = Dependencies->Messages;
   ProcessMetrics.setGauge("message_bytes",
                           static_cast<double>(Messages.usedBytes()));
--- a/Services/Gateway/GatewayState.cpp
+++ b/Services/Gateway/GatewayState.cpp
@@ -39,6 +39,11 @@
   return "unknown";
 }
 
+RateLimitSource rateLimitSource(SignalSource Source) {
+  return Source == SignalSource::Probe ? RateLimitSource::Probe
+                                       : RateLimitSource::Answer;
+}
+
 std::uint64_t milliseconds(Duration Time) {
   return static_cast<std::uint64_t>(
       std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -50,7 +55,8 @@
 
 GatewayState::GatewayState(const Clock &TimeSource, Random &Generator,
                            RateLimitedLog &Events)
-    : TimeSource(TimeSource), Generator(Generator), Events(Events) {}
+    : TimeSource(TimeSource), Generator(Generator), Events(Events),
+      RateLimits(TimeSource, Events) {}
 
 ConfigurationVersion GatewayState::version() const {
   return CurrentConfiguration ? CurrentConfiguration->Version
@@ -225,6 +231,7 @@
   const auto Removed = removeMissingTargets(Directory, TimeSource.now());
   recordChanges(Removed, "lapse");
   removeEndedPauses();
+  RateLimits.removeUnregistered(Directory);
   std::erase_if(StatsByTarget, [&](const auto &Entry) {
     return Entry.second.InFlight == 0 &&
            !Directory.Targets.contains(Entry.first);
@@ -301,7 +308,7 @@
                                  const Endpoint &Address,
                                  const TargetSignals &Signals,
                                  SignalSource Source) {
-  if (!Signals.IsLeaving && !Signals.Pause)
+  if (!Signals.IsLeaving && !Signals.Pause && !Signals.RateLimit)
     return;
   TargetProcess Sender = Addressed;
   if (!Signals.Responder.Value.empty() && Signals.Responder != Addressed.Id) {
@@ -317,6 +324,13 @@
     recordLeaving(Sender, Source);
   if (Signals.Pause)
     recordPause(Sender, *Signals.Pause, Source);
+  if (Signals.RateLimit)
+    RateLimits.record(Sender, *Signals.RateLimit, rateLimitSource(Source));
+}
+
+void GatewayState::recordUnlimited(const TargetProcess &Process,
+                                   SignalSource Source, TimePoint SentAt) {
+  RateLimits.recordUnlimited(Process, rateLimitSource(Source), SentAt);
 }
 
 void GatewayState::recordLeaving(const TargetProcess &Process,
--- a/Services/Gateway/GatewayState.h
+++ b/Services/Gateway/GatewayState.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "RateLimitedTargets.h"
+
 #include <LibCore/Random.h>
 #include <LibGateway/Configuration.h>
 #include <LibGateway/Exchange.h>
@@ -183,6 +185,11 @@
   /// same address.
   void recordSignals(const TargetProcess &Addressed, const Endpoint &Address,
                      const TargetSignals &Signals, SignalSource Source);
+  /// Records that the process has answered a request or probe, sent at SentAt,
+  /// without naming a limit on its requests.
+  void recordUnlimited(const TargetProcess &Process, SignalSource Source,
+                       TimePoint SentAt);
+  const RateLimitedTargets &rateLimits() const { return RateLimits; }
   /// Takes a process of a target out of use for good.
   void recordLeaving(const TargetProcess &Process, SignalSource Source);
   /// Returns the leaving processes that this host has found since the last
@@ -293,6 +300,7 @@
   /// Pauses outlive the registrations and the statistics of their targets,
   /// because a registration that has disappeared may come back.
   std::map<TargetProcess, KnownPause> Pauses;
+  RateLimitedTargets RateLimits;
   std::vector<TargetProcess> UnsharedLeaving;
   SignalCounts Signalled;
 };
--- /dev/null
+++ b/Services/Gateway/RateLimitedTargets.cpp
@@ -0,0 +1,80 @@
+#include "RateLimitedTargets.h"
+
+#include <algorithm>
+
+namespace comfreyrill {
+
+namespace {
+
+// More than any service has. The oldest one is forgotten above this number, so
+// that malformed answers cannot use up the memory.
+constexpr std::size_t LimitsMaximum = 4096;
+// Registrations disappear for a few seconds while the store is away.
+constexpr Duration UnregisteredTime = std::chrono::seconds(60);
+
+std::string_view sourceName(RateLimitSource Source) {
+  return Source == RateLimitSource::Probe ? "probe" : "answer";
+}
+
+} // namespace
+
+RateLimitedTargets::RateLimitedTargets(const Clock &TimeSource,
+                                       RateLimitedLog &Events)
+    : TimeSource(TimeSource), Events(Events) {}
+
+void RateLimitedTargets::record(const TargetProcess &Process,
+                                double RequestsPerSecond,
+                                RateLimitSource Source) {
+  const auto Position = Limits.find(Process);
+  const bool IsNew = Position == Limits.end();
+  const bool IsChanged =
+      !IsNew && Position->second.RequestsPerSecond != RequestsPerSecond;
+  if (IsNew && Limits.size() >= LimitsMaximum)
+    Limits.erase(std::min_element(
+        Limits.begin(), Limits.end(), [](const auto &One, const auto &Other) {
+          return One.second.NamedAt < Other.second.NamedAt;
+        }));
+  TargetRateLimit &Limit = IsNew ? Limits[Process] : Position->second;
+  recordRateLimit(Limit, RequestsPerSecond, Source, TimeSource.now());
+  Counts.Begun += IsNew ? 1 : 0;
+  Counts.Changed += IsChanged ? 1 : 0;
+  if (IsNew || IsChanged)
+    log("target_rate_limited", Process, Limit, Source);
+}
+
+void RateLimitedTargets::recordUnlimited(const TargetProcess &Process,
+                                         RateLimitSource Source,
+                                         TimePoint SentAt) {
+  const auto Position = Limits.find(Process);
+  if (Position == Limits.end() ||
+      !endsRateLimit(Position->second, Source, SentAt))
+    return;
+  ++Counts.Ended;
+  log("target_rate_limit_ended", Process, Position->second, Source);
+  Limits.erase(Position);
+}
+
+void RateLimitedTargets::removeUnregistered(const TargetDirectory &Directory) {
+  const TimePoint Now = TimeSource.now();
+  std::erase_if(Limits, [&](const auto &Entry) {
+    const auto Known = Directory.Targets.find(Entry.first.Id);
+    return (Known == Directory.Targets.end() ||
+            processOf(Known->second.Registration) != Entry.first) &&
+           Now - Entry.second.NamedAt > UnregisteredTime;
+  });
+}
+
+void RateLimitedTargets::log(std::string_view Event,
+                             const TargetProcess &Process,
+                             const TargetRateLimit &Limit,
+                             RateLimitSource Source) {
+  LogLine Line(Event);
+  Line.field("target", Process.Id.Value)
+      .field("started_at_ms", Process.StartedAtMilliseconds)
+      .field("source", sourceName(Source))
+      .field("requests_per_1000_s",
+             static_cast<std::uint64_t>(Limit.RequestsPerSecond * 1000));
+  Events.writeAlways(LogLevel::Info, Line);
+}
+
+} // namespace comfreyrill
--- a/Services/Gateway/RequestExecution.cpp
+++ b/Services/Gateway/RequestExecution.cpp
@@ -576,10 +576,14 @@
     if (Read.IsMisdirected)
       Dependencies.CurrentState.withdrawAttempt(Process, Begin);
     Report.Outcome = classifyAnswer(Read);
+    const TargetSignals Signals = platform::decodeTargetSignals(Answer.value());
     // A target that pauses has not failed.
     HasAskedForPause =
-        Report.Outcome != AttemptOutcome::Answered &&
-        asksForPause(platform::decodeTargetSignals(Answer.value()), Id);
+        Report.Outcome != AttemptOutcome::Answered && asksForPause(Signals, Id);
+    if (!Signals.RateLimit && (Report.Outcome == AttemptOutcome::Answered ||
+                               Report.Outcome == AttemptOutcome::TargetError))
+      Dependencies.CurrentState.recordUnlimited(Process, SignalSource::Answer,
+                                                Begin);
     if (Read.Load && !Read.IsMisdirected)
       Dependencies.CurrentState.recordLoad(Id, *Read.Load);
     Report.Answer = std::move(Answer.value());
--- a/Services/Gateway/TargetProber.cpp
+++ b/Services/Gateway/TargetProber.cpp
@@ -100,6 +100,7 @@
                                  platform::decodeTargetSignals(Response),
                                  SignalSource::Probe);
     };
+    const TimePoint SentAt = Dependencies.TimeSource.now();
     const auto Answer = co_await Connection->exchange(
         platform::encodeProbe(Address, Candidate.Id, Current->HealthPath),
         probeLimits(), Deadline, [&](const HttpResponse &Response) {
@@ -115,6 +116,9 @@
           Read.IsMisdirected ||
           (!Read.Responder.Value.empty() && Read.Responder != Candidate.Id);
       IsAnswered = true;
+      if (!IsMisdirected &&
+          !platform::decodeTargetSignals(Answer.value()).RateLimit)
+        CurrentState.recordUnlimited(Process, SignalSource::Probe, SentAt);
       if (Read.Load && !IsMisdirected)
         CurrentState.recordLoad(Candidate.Id, *Read.Load);
       if (Read.ColdTimeLeft && !IsMisdirected)
--- a/Tests/platform/TestHttpCodec.cpp
+++ b/Tests/platform/TestHttpCodec.cpp
@@ -94,6 +94,21 @@
   }
 }
 
+// Guards against limits that are missed or read from malformed values.
+TEST(HttpCodec, DecodesTheRequestLimitOfATarget) {
+  HttpResponse Response(http::status::ok, 11);
+  EXPECT_FALSE(decodeTargetSignals(Response).RateLimit);
+  Response.set("Server-Limit", "1.5");
+  EXPECT_EQ(decodeTargetSignals(Response).RateLimit, 1.5);
+  Response.result(http::status::service_unavailable);
+  Response.set("Server-Limit", "0");
+  EXPECT_EQ(decodeTargetSignals(Response).RateLimit, 0);
+  for (const char *Malformed : {"", "-1", "many", "inf", "nan", "1e300"}) {
+    Response.set("Server-Limit", Malformed);
+    EXPECT_FALSE(decodeTargetSignals(Response).RateLimit) << Malformed;
+  }
+}
+
 // Guards against a pause that the target has not asked for, and against missing
 // one that it has.
 TEST(HttpCodec, OnlyAServiceUnavailableAnswerAsksForAPause) {
