--- a/Tests/Gateway/TestRequestExecution.cpp
+++ b/Tests/Gateway/TestRequestExecution.cpp
@@ -1509,6 +1509,28 @@
   EXPECT_EQ(Cold.Runs + Cold.Probes, 0);
 }
 
+// Guards against requests beyond the limit that an answer has named.
+TEST_F(RequestExecutionTest, LimitedServiceRefusesAtOnceWhatItDoesNotTake) {
+  configure(ExecutionSemantics::Idempotent);
+  FakeTarget &Limited =
+      addTarget([](const HttpRequest &Request) -> Awaitable<HttpResponse> {
+        HttpResponse Made = signedAnswer(Request, "whole");
+        Made.set("Server-Limit", "1");
+        co_return Made;
+      });
+  begin();
+  EXPECT_EQ(finish().result(), http::status::ok);
+  Answer.reset();
+  const TimePoint Begin = TimeSource.now();
+  begin("/x/1", "r-2");
+  const HttpResponse Refused = finish();
+  EXPECT_EQ(Refused.result(), http::status::service_unavailable);
+  EXPECT_EQ(Refused.body(), R"({"reason":"rate_limited"})");
+  EXPECT_FALSE(Refused[http::field::retry_after].empty());
+  EXPECT_LT(TimeSource.now() - Begin, 100ms);
+  EXPECT_EQ(Limited.Runs, 1);
+}
+
 // Guards against a request to a target that says in its answer to the probe
 // that it is cold, and of which this host may send nothing.
 TEST_F(RequestExecutionTest, ProbeTellsThatTheTargetIsCold) {
