LibPlaces: Separate the shares of hosts from cold targets

The table of what a host may send to a target that bears few requests per second, with its wait after a change of the hosts, is not specific to cold targets. It now takes the function that computes the share, and the order of the hosts for one target has a file of its own. No behaviour changes; the tests of cold targets pass with the new names.

--- a/Libraries/LibPlaces/ColdShare.cpp
+++ b/Libraries/LibPlaces/ColdShare.cpp
@@ -1,9 +1,7 @@
-#include <LibCore/Hash.h>
 #include <LibPlaces/ColdShare.h>
 
 #include <algorithm>
 #include <cmath>
-#include <string_view>
 
 namespace comfreyrill {
 
@@ -22,39 +20,14 @@
 constexpr double RateMinimum = 0.01;
 constexpr double RateMaximum = 1e5;
 
-// All hosts must agree on the hash, and a hundred of them are ranked for each
-// cold target, so it must be cheap. Nothing depends on its strength.
-std::uint64_t textHash(std::string_view Text) {
-  std::uint64_t Hash = 0xCBF29CE484222325U;
-  for (const char Character : Text) {
-    Hash ^= static_cast<unsigned char>(Character);
-    Hash *= 0x100000001B3U;
-  }
-  return mixBits(Hash);
-}
-
-std::uint64_t rankOf(const HostId &Host, const TargetId &Target) {
-  return mixBits(textHash(Host.Value) +
-                 0x9E3779B97F4A7C15U * (textHash(Target.Value) | 1U));
-}
-
 } // namespace
 
-ColdShare coldShare(const DomainHosts &Hosts, const TargetId &Target,
+HostShare coldShare(const DomainHosts &Hosts, const TargetId &Target,
                     double RatePerSecond) {
   if (Hosts.IsIsolated || !(RatePerSecond > 0))
     return {};
   const double Rate = std::clamp(RatePerSecond, RateMinimum, RateMaximum);
-  const std::uint64_t Own = rankOf(Hosts.Self, Target);
-  std::uint32_t LiveBefore = 0;
-  std::uint32_t KnownBefore = 0;
-  for (const DomainHost &Other : Hosts.Others) {
-    const std::uint64_t Rank = rankOf(Other.Host, Target);
-    if (Rank < Own || (Rank == Own && Hosts.Self < Other.Host))
-      continue;
-    ++KnownBefore;
-    LiveBefore += Other.IsLive ? 1 : 0;
-  }
+  const HostRank Rank = rankHost(Hosts, Target);
   const auto Whole = static_cast<std::uint32_t>(std::max(1.0, Rate));
   // Lost hosts count too: a host that sees no other one live must not take over
   // the whole budget.
@@ -64,10 +37,11 @@
   const std::uint32_t Largest = (Whole + Assigned - 1) / Assigned;
   const auto Spare = static_cast<std::uint32_t>(
       (SpareRateFactor * Rate + SpareRequests) / Largest);
-  if (LiveBefore >= Assigned || KnownBefore >= Assigned + Spare)
+  if (Rank.LiveBefore >= Assigned || Rank.KnownBefore >= Assigned + Spare)
     return {};
-  ColdShare Share;
-  Share.Requests = Whole / Assigned + (LiveBefore < Whole % Assigned ? 1U : 0U);
+  HostShare Share;
+  Share.Requests =
+      Whole / Assigned + (Rank.LiveBefore < Whole % Assigned ? 1U : 0U);
   if (Rate < 1)
     Share.Window = std::chrono::duration_cast<Duration>(
         std::chrono::duration<double>(1 / Rate));
--- a/Libraries/LibPlaces/ColdTargets.cpp
+++ b/Libraries/LibPlaces/TargetShares.cpp
@@ -1,4 +1,4 @@
-#include <LibPlaces/ColdTargets.h>
+#include <LibPlaces/TargetShares.h>
 
 #include <algorithm>
 
@@ -12,31 +12,31 @@
 // Targets that were not in use for this time are forgotten. Longer than any
 // window of a share.
 constexpr Duration UseLifetime = std::chrono::minutes(2);
-// Shares of a cold target are counted in requests per second, so other hosts
-// have room for a request within that time.
-constexpr Duration ColdRoomElsewhere = std::chrono::seconds(1);
+// Shares are counted in requests per second, so other hosts have room for a
+// request within that time.
+constexpr Duration RoomElsewhere = std::chrono::seconds(1);
 
-void assign(const ColdTargetTable &Table, const TargetId &Target,
-            ColdTargetUse &Use, TimePoint Since) {
+void assign(const TargetShareTable &Table, const TargetId &Target,
+            ShareUse &Use, TimePoint Since) {
   const bool WasAssigned = Use.Share.Requests > 0;
-  Use.Share = coldShare(Table.Hosts, Target, Use.RatePerSecond);
+  Use.Share = Table.ShareOf(Table.Hosts, Target, Use.RatePerSecond);
   if (!WasAssigned)
     Use.AssignedSince = Since;
 }
 
-void dropOld(ColdTargetUse &Use, TimePoint Now) {
+void dropOld(ShareUse &Use, TimePoint Now) {
   while (!Use.SentAt.empty() && Now - Use.SentAt.front() >= Use.Share.Window)
     Use.SentAt.pop_front();
 }
 
-bool knowsDomain(const ColdTargetTable &Table, const FailureDomain &Domain,
+bool knowsDomain(const TargetShareTable &Table, const FailureDomain &Domain,
                  TimePoint Now) {
   return Table.UpdatedAt && Now - *Table.UpdatedAt <= ViewLifetime &&
          Domain == Table.Hosts.Domain;
 }
 
-ColdVerdict judgeUse(const ColdTargetTable &Table, const TargetId &Target,
-                     ColdTargetUse &Use, double RatePerSecond, TimePoint Now) {
+ShareVerdict judgeUse(const TargetShareTable &Table, const TargetId &Target,
+                      ShareUse &Use, double RatePerSecond, TimePoint Now) {
   Use.UsedAt = Now;
   if (Use.RatePerSecond != RatePerSecond) {
     const bool IsNew = Use.RatePerSecond == 0;
@@ -56,7 +56,7 @@
 
 } // namespace
 
-void updateHosts(ColdTargetTable &Table, const DomainHosts &Hosts,
+void updateHosts(TargetShareTable &Table, const DomainHosts &Hosts,
                  TimePoint Now) {
   const bool WasFrozen =
       !Table.UpdatedAt || Now - *Table.UpdatedAt > ViewLifetime;
@@ -75,41 +75,39 @@
     assign(Table, Target, Use, Now);
 }
 
-ColdVerdict judgeColdTarget(ColdTargetTable &Table, const TargetId &Target,
-                            const FailureDomain &Domain, double RatePerSecond,
-                            TimePoint Now) {
+ShareVerdict judgeShare(TargetShareTable &Table, const TargetId &Target,
+                        const FailureDomain &Domain, double RatePerSecond,
+                        TimePoint Now) {
   if (!knowsDomain(Table, Domain, Now))
     return {};
   return judgeUse(Table, Target, Table.Targets[Target], RatePerSecond, Now);
 }
 
-ColdVerdict previewColdTarget(const ColdTargetTable &Table,
-                              const TargetId &Target,
-                              const FailureDomain &Domain, double RatePerSecond,
-                              TimePoint Now) {
+ShareVerdict previewShare(const TargetShareTable &Table, const TargetId &Target,
+                          const FailureDomain &Domain, double RatePerSecond,
+                          TimePoint Now) {
   if (!knowsDomain(Table, Domain, Now))
     return {};
   const auto Known = Table.Targets.find(Target);
-  ColdTargetUse Copy =
-      Known == Table.Targets.end() ? ColdTargetUse{} : Known->second;
+  ShareUse Copy = Known == Table.Targets.end() ? ShareUse{} : Known->second;
   return judgeUse(Table, Target, Copy, RatePerSecond, Now);
 }
 
-TimePoint coldRoomAt(const ColdVerdict &Verdict, TimePoint ColdUntil,
-                     TimePoint Now) {
-  return std::min(Verdict.RoomAt.value_or(Now + ColdRoomElsewhere),
-                  std::max(ColdUntil, Now));
+TimePoint roomAt(const ShareVerdict &Verdict, TimePoint LimitedUntil,
+                 TimePoint Now) {
+  return std::min(Verdict.RoomAt.value_or(Now + RoomElsewhere),
+                  std::max(LimitedUntil, Now));
 }
 
-void recordRequest(ColdTargetTable &Table, const TargetId &Target,
+void recordRequest(TargetShareTable &Table, const TargetId &Target,
                    TimePoint Now) {
-  ColdTargetUse &Use = Table.Targets[Target];
+  ShareUse &Use = Table.Targets[Target];
   Use.UsedAt = Now;
   dropOld(Use, Now);
   Use.SentAt.push_back(Now);
 }
 
-void withdrawRequest(ColdTargetTable &Table, const TargetId &Target,
+void withdrawRequest(TargetShareTable &Table, const TargetId &Target,
                      TimePoint SentAt) {
   const auto Position = Table.Targets.find(Target);
   if (Position == Table.Targets.end())
--- a/Services/Gateway/DomainHostsView.h
+++ b/Services/Gateway/DomainHostsView.h
@@ -2,7 +2,7 @@
 
 #include <LibMembership/DomainTable.h>
 #include <LibMembership/MemberTable.h>
-#include <LibPlaces/ColdShare.h>
+#include <LibPlaces/DomainHosts.h>
 
 namespace comfreyrill {
 
--- a/Services/Gateway/GatewayState.cpp
+++ b/Services/Gateway/GatewayState.cpp
@@ -279,9 +279,9 @@
     if (Exclusion != TargetExclusion::None)
       continue;
     if (ColdRate > 0 && Now < Known.ColdUntil) {
-      const ColdVerdict Verdict =
-          judgeColdTarget(Cold, Id, Registered.Domain, ColdRate, Now);
-      const TimePoint Room = coldRoomAt(Verdict, Known.ColdUntil, Now);
+      const ShareVerdict Verdict =
+          judgeShare(Cold, Id, Registered.Domain, ColdRate, Now);
+      const TimePoint Room = roomAt(Verdict, Known.ColdUntil, Now);
       if (!Verdict.IsAdmitted &&
           (!Listed.EarliestColdRoom || Room < *Listed.EarliestColdRoom))
         Listed.EarliestColdRoom = Room;
@@ -407,8 +407,7 @@
   const DirectoryEntry &Entry = Directory.Targets.at(Process.Id);
   const double ColdRate = coldRate(Entry.Registration.Service);
   if (ColdRate > 0 && Now < Entry.ColdUntil &&
-      !judgeColdTarget(Cold, Process.Id, Entry.Registration.Domain, ColdRate,
-                       Now)
+      !judgeShare(Cold, Process.Id, Entry.Registration.Domain, ColdRate, Now)
            .IsAdmitted)
     return false;
   const auto Known = Pauses.find(Process);
--- a/Services/Gateway/GatewayState.h
+++ b/Services/Gateway/GatewayState.h
@@ -12,8 +12,9 @@
 #include <LibGateway/WaitingOrder.h>
 #include <LibGateway/WorkTimes.h>
 #include <LibLog/RateLimitedLog.h>
-#include <LibPlaces/ColdTargets.h>
+#include <LibPlaces/ColdShare.h>
 #include <LibPlaces/Evacuations.h>
+#include <LibPlaces/TargetShares.h>
 #include <LibRouting/Outlier.h>
 #include <LibRouting/TargetPause.h>
 
@@ -237,7 +238,7 @@
     return Found == StatsByService.end() ? nullptr : &Found->second;
   }
   const std::map<TargetProcess, KnownPause> &pauses() const { return Pauses; }
-  const ColdTargetTable &coldTargets() const { return Cold; }
+  const TargetShareTable &coldTargets() const { return Cold; }
   /// Records a load report that this host has just received from the target.
   void recordLoad(const TargetId &Id, const LoadReport &Load);
   /// Records a load report from another host unless a newer one is known.
@@ -292,7 +293,7 @@
   TimePoint ConfiguredAt;
   bool HasColdLimits = false;
   /// Mutable because judging a target records the time of its last use.
-  mutable ColdTargetTable Cold;
+  mutable TargetShareTable Cold{coldShare};
   std::vector<TargetProcess> UnsharedCold;
   std::unordered_map<TargetId, TargetStats> StatsByTarget;
   std::map<ServiceName, ServiceStats> StatsByService;
--- a/Services/Gateway/RequestExplainer.cpp
+++ b/Services/Gateway/RequestExplainer.cpp
@@ -179,11 +179,11 @@
       takeEarlier(Input.UntilPauseEnd, Facts.Pause->EndsAt - Now);
     if (Target.Exclusion == TargetExclusion::None && ColdRate > 0 &&
         Now < Known.ColdUntil) {
-      const ColdVerdict Verdict = previewColdTarget(
+      const ShareVerdict Verdict = previewShare(
           CurrentState.coldTargets(), Id, Registered.Domain, ColdRate, Now);
       if (!Verdict.IsAdmitted) {
         Target.Exclusion = TargetExclusion::Cold;
-        Target.ExcludedFor = coldRoomAt(Verdict, Known.ColdUntil, Now) - Now;
+        Target.ExcludedFor = roomAt(Verdict, Known.ColdUntil, Now) - Now;
         takeEarlier(Input.UntilColdRoom, *Target.ExcludedFor);
       }
     }
--- a/Tests/LibPlaces/TestColdFleet.cpp
+++ b/Tests/LibPlaces/TestColdFleet.cpp
@@ -1,4 +1,5 @@
-#include <LibPlaces/ColdTargets.h>
+#include <LibPlaces/ColdShare.h>
+#include <LibPlaces/TargetShares.h>
 
 #include <algorithm>
 #include <gtest/gtest.h>
@@ -21,7 +22,7 @@
 /// One host of the domain, as the fleet below runs it.
 struct FleetHost {
   HostId Id;
-  ColdTargetTable Table;
+  TargetShareTable Table{coldShare};
   TimePoint StartedAt;
   TimePoint JoinedAt;
   TimePoint FrozenUntil = TimePoint::min();
@@ -68,7 +69,7 @@
       for (int Round = 0; Round < 2; ++Round) {
         for (int Tries = 0;
              Tries < TriesMaximum &&
-             judgeColdTarget(Host.Table, Target, West, Rate, Now).IsAdmitted;
+             judgeShare(Host.Table, Target, West, Rate, Now).IsAdmitted;
              ++Tries) {
           recordRequest(Host.Table, Target, Now);
           SentAt.push_back(Now);
@@ -111,7 +112,7 @@
       Host.FrozenUntil = Fleet.Now + *rc::gen::inRange(1, 200) * Step;
       break;
     case 1:
-      Host.Table = {};
+      Host.Table = TargetShareTable{coldShare};
       Host.StartedAt = Fleet.Now;
       break;
     case 2:
--- a/Tests/LibPlaces/TestColdTargets.cpp
+++ b/Tests/LibPlaces/TestColdTargets.cpp
@@ -1,4 +1,5 @@
-#include <LibPlaces/ColdTargets.h>
+#include <LibPlaces/ColdShare.h>
+#include <LibPlaces/TargetShares.h>
 
 #include <gtest/gtest.h>
 
@@ -36,9 +37,7 @@
     }
   }
 
-  ColdVerdict judge() {
-    return judgeColdTarget(Table, Target, West, Rate, Now);
-  }
+  ShareVerdict judge() { return judgeShare(Table, Target, West, Rate, Now); }
 
   /// Sends as many requests at once as the limit admits.
   int send() {
@@ -48,7 +47,7 @@
     return Sent;
   }
 
-  ColdTargetTable Table;
+  TargetShareTable Table{coldShare};
   TimePoint Now{1h};
 };
 
@@ -60,7 +59,7 @@
       std::uint32_t Sum = 0;
       std::size_t Assigned = 0;
       for (std::size_t Index = 0; Index < Count; ++Index) {
-        const ColdShare Share =
+        const HostShare Share =
             coldShare(hosts(Index, Count), Target, PerSecond);
         Sum += Share.Requests;
         Assigned += Share.Requests > 0 ? 1 : 0;
@@ -183,17 +182,17 @@
 // those of its own domain.
 TEST_F(ColdTargetsTest, OtherDomainsDoNotUseTheTarget) {
   run(3s, hosts(0, 1));
-  EXPECT_FALSE(judgeColdTarget(Table, Target, FailureDomain("east"), Rate, Now)
-                   .IsAdmitted);
+  EXPECT_FALSE(
+      judgeShare(Table, Target, FailureDomain("east"), Rate, Now).IsAdmitted);
 }
 
 // Guards against a preview that differs from the verdict or records a use.
 TEST_F(ColdTargetsTest, PreviewGivesTheVerdictAndRecordsNothing) {
   run(5s, hosts(0, 1));
-  EXPECT_TRUE(previewColdTarget(Table, Target, West, Rate, Now).IsAdmitted);
+  EXPECT_TRUE(previewShare(Table, Target, West, Rate, Now).IsAdmitted);
   EXPECT_TRUE(Table.Targets.empty());
   EXPECT_GT(send(), 0);
-  const ColdVerdict Full = previewColdTarget(Table, Target, West, Rate, Now);
+  const ShareVerdict Full = previewShare(Table, Target, West, Rate, Now);
   EXPECT_FALSE(Full.IsAdmitted);
   EXPECT_EQ(Full.RoomAt, judge().RoomAt);
 }
