Gateway: Keep to the request limits of targets over all hosts

That single hosts keep to the limit and only their sum does not was ruled out by the fleet test, where each host sent as without a limit. Class: a signal in the answers of targets that has no effect on the routing, as the leaving and pausing ones had once.

A limit is now shared among few hosts of the target's failure domain, in the order that cold targets use; the others leave the target out and check with a probe, or rarely with a request, whether the limit still holds. Requests that no target can take are refused at once with the time until a share has room. The sum keeps to the rule in any views of the hosts.

--- a/Libraries/LibGateway/Admission.cpp
+++ b/Libraries/LibGateway/Admission.cpp
@@ -51,6 +51,8 @@
     return "paused";
   case RefusalCause::Cold:
     return "cold";
+  case RefusalCause::RateLimited:
+    return "rate_limited";
   case RefusalCause::Quarantined:
     return "quarantined";
   case RefusalCause::Draining:
--- a/Libraries/LibGateway/Admission.h
+++ b/Libraries/LibGateway/Admission.h
@@ -52,6 +52,9 @@
   /// All targets that the request could use are cold and have got as many
   /// requests as they bear.
   Cold,
+  /// All targets that the request could use limit their requests and have got
+  /// as many as they take.
+  RateLimited,
   /// Copies of the request have crashed targets.
   Quarantined,
   /// The host shuts down before the request would have ended.
--- a/Libraries/LibGateway/CandidateListing.cpp
+++ b/Libraries/LibGateway/CandidateListing.cpp
@@ -43,6 +43,8 @@
     return "paused";
   case TargetExclusion::Cold:
     return "cold";
+  case TargetExclusion::RateLimited:
+    return "rate_limited";
   case TargetExclusion::OtherDomain:
     return "other_domain";
   }
--- a/Libraries/LibGateway/CandidateListing.h
+++ b/Libraries/LibGateway/CandidateListing.h
@@ -25,6 +25,8 @@
   Paused,
   /// The target is cold, and this host may send nothing to it now.
   Cold,
+  /// The target limits its requests, and this host may send nothing to it now.
+  RateLimited,
   /// The request may not use the failure domain of the target.
   OtherDomain,
 };
--- a/Libraries/LibGateway/RefusalDecision.cpp
+++ b/Libraries/LibGateway/RefusalDecision.cpp
@@ -19,6 +19,10 @@
   if (!Input.HasCandidates && Input.UntilColdRoom)
     return {RefusalCause::Cold, retryAfterPause(*Input.UntilColdRoom,
                                                 Input.ExpectedTime, Generator)};
+  if (!Input.HasCandidates && Input.UntilLimitRoom)
+    return {
+        RefusalCause::RateLimited,
+        retryAfterPause(*Input.UntilLimitRoom, Input.ExpectedTime, Generator)};
   const RefusalCause Cause = Input.Cause == RefusalCause::Paused
                                  ? RefusalCause::NoTarget
                                  : Input.Cause;
--- a/Libraries/LibGateway/RefusalDecision.h
+++ b/Libraries/LibGateway/RefusalDecision.h
@@ -18,6 +18,9 @@
   std::optional<Duration> UntilPauseEnd;
   /// Time until a cold target that is left out has room, if there is one.
   std::optional<Duration> UntilColdRoom;
+  /// Time until a target that limits its requests and is left out has room, if
+  /// there is one.
+  std::optional<Duration> UntilLimitRoom;
   Duration ExpectedTime{0};
   /// Time until the deadline of the caller or the route, whichever is earlier.
   Duration TimeLeft{0};
--- a/Libraries/LibGateway/SelectionExplanation.cpp
+++ b/Libraries/LibGateway/SelectionExplanation.cpp
@@ -158,6 +158,7 @@
   Made.HasCandidates = Input.HasServiceCandidates;
   Made.UntilPauseEnd = Input.UntilPauseEnd;
   Made.UntilColdRoom = Input.UntilColdRoom;
+  Made.UntilLimitRoom = Input.UntilLimitRoom;
   Made.ExpectedTime = Input.Searching.ExpectedTime;
   Made.TimeLeft = Input.Searching.Deadline - Now;
   return decideRefusal(Made, Input.Returns, Now, Generator);
--- a/Libraries/LibGateway/SelectionExplanation.h
+++ b/Libraries/LibGateway/SelectionExplanation.h
@@ -23,6 +23,7 @@
   bool HasServiceCandidates = false;
   std::optional<Duration> UntilPauseEnd;
   std::optional<Duration> UntilColdRoom;
+  std::optional<Duration> UntilLimitRoom;
   RemoteFactors Factors;
   /// False when the service has no health path, so that it is not probed.
   bool IsProbed = true;
--- a/Libraries/LibGateway/TargetSelection.h
+++ b/Libraries/LibGateway/TargetSelection.h
@@ -46,6 +46,8 @@
   std::uint32_t OwnInFlight = 0;
   /// Start of the target's process in Unix milliseconds.
   std::uint64_t StartedAtMilliseconds = 0;
+  /// The target gets no request unless an answer to a probe admits it.
+  bool NeedsProbe = false;
   /// This host has an idle connection to the target.
   bool HasIdleConnection = true;
   /// The target has registered only lately, after this host had learned of the
--- a/Libraries/LibRouting/TargetRateLimit.h
+++ b/Libraries/LibRouting/TargetRateLimit.h
@@ -1,6 +1,9 @@
 #pragma once
 
 #include <LibCore/Clock.h>
+#include <LibCore/Random.h>
+
+#include <cstddef>
 
 namespace comfreyrill {
 
@@ -16,15 +19,24 @@
   /// Answers to probes have named the limit, so that a probe shows whether it
   /// still holds.
   bool IsNamedByProbes = false;
+  /// Time from which a host without a share of the limit checks whether it
+  /// still holds: with a probe, or with a request where probes do not tell.
+  TimePoint RecheckAt;
 };
 
-/// Records that an answer has named a limit.
+/// Records that an answer has named a limit. HostCount is the number of hosts
+/// that may know it.
 void recordRateLimit(TargetRateLimit &Limit, double RequestsPerSecond,
-                     RateLimitSource Source, TimePoint Now);
+                     RateLimitSource Source, std::size_t HostCount,
+                     TimePoint Now, Random &Generator);
 
 /// Returns true when an answer without a limit, to a request or probe that was
 /// sent at SentAt, shows that the limit has ended.
 bool endsRateLimit(const TargetRateLimit &Limit, RateLimitSource Source,
                    TimePoint SentAt);
 
+/// Puts off the next check. Called when a request is sent as a check.
+void postponeRecheck(TargetRateLimit &Limit, std::size_t HostCount,
+                     TimePoint Now, Random &Generator);
+
 } // namespace comfreyrill
--- a/Services/Gateway/FleetService.cpp
+++ b/Services/Gateway/FleetService.cpp
@@ -16,6 +16,9 @@
 // Well below the pause threshold of the membership, which treats a longer gap
 // between ticks as a pause of this process.
 constexpr Duration TickInterval = std::chrono::milliseconds(50);
+// The shares of targets that are cold or limited expire if the hosts are not
+// updated several times a second. Each update copies the members of the domain.
+constexpr Duration HostsUpdateInterval = std::chrono::milliseconds(150);
 constexpr Duration ShortestTick = std::chrono::milliseconds(5);
 // Callers use at most this many addresses of one directory response.
 constexpr std::size_t AddressesMaximum = 64;
@@ -83,22 +86,24 @@
   Quotas.tick();
   contactSeeds();
   Replicator.tick();
-  updateDomainHosts();
+  updateHosts();
   if (OnTick)
     OnTick();
   sendHeartbeats();
   sendReports();
 }
 
-void FleetService::updateDomainHosts() {
-  if (!Dependencies.CurrentState.limitsColdTargets())
+void FleetService::updateHosts() {
+  const TimePoint Now = Dependencies.TimeSource.now();
+  if (Now < NextHostsUpdate)
     return;
+  NextHostsUpdate = Now + HostsUpdateInterval;
   const bool HasOtherSeeds =
       std::any_of(Seeds.begin(), Seeds.end(), [&](const Endpoint &Seed) {
         return Seed != Members.Self.PeerAddress;
       });
-  Dependencies.CurrentState.updateDomainHosts(domainHosts(
-      Members, Domains, HasOtherSeeds, Dependencies.TimeSource.now()));
+  Dependencies.CurrentState.updateHosts(
+      domainHosts(Members, Domains, HasOtherSeeds, Now), budgetHostCount());
 }
 
 void FleetService::sendHeartbeats() {
--- a/Services/Gateway/FleetService.h
+++ b/Services/Gateway/FleetService.h
@@ -58,7 +58,7 @@
 private:
   Awaitable<void> run();
   void tick();
-  void updateDomainHosts();
+  void updateHosts();
   void sendHeartbeats();
   void sendReports();
   void relay(const DomainReport &Report);
@@ -84,6 +84,7 @@
   TickHandler OnTick;
   Timer TickTimer;
   TimePoint NextSeedContact;
+  TimePoint NextHostsUpdate;
   /// Hosts that recently sent a join request to this one, latest last.
   std::vector<HostDescription> RecentJoiners;
   std::map<FailureDomain, TimePoint> RelayedAt;
--- a/Services/Gateway/GatewayState.cpp
+++ b/Services/Gateway/GatewayState.cpp
@@ -56,7 +56,7 @@
 GatewayState::GatewayState(const Clock &TimeSource, Random &Generator,
                            RateLimitedLog &Events)
     : TimeSource(TimeSource), Generator(Generator), Events(Events),
-      RateLimits(TimeSource, Events) {}
+      RateLimits(TimeSource, Generator, Events) {}
 
 ConfigurationVersion GatewayState::version() const {
   return CurrentConfiguration ? CurrentConfiguration->Version
@@ -207,8 +207,10 @@
   return std::exchange(UnsharedCold, {});
 }
 
-void GatewayState::updateDomainHosts(const DomainHosts &Hosts) {
-  updateHosts(Cold, Hosts, TimeSource.now());
+void GatewayState::updateHosts(const DomainHosts &Hosts,
+                               std::size_t FleetHosts) {
+  comfreyrill::updateHosts(Cold, Hosts, TimeSource.now());
+  RateLimits.updateHosts(Hosts, FleetHosts);
 }
 
 TargetDelta GatewayState::takePendingDelta() {
@@ -288,6 +290,13 @@
       if (!Verdict.IsAdmitted)
         continue;
     }
+    const RateLimitVerdict Limited =
+        RateLimits.empty() ? RateLimitVerdict{} : RateLimits.judge(Registered);
+    if (Limited.RoomAt && (!Listed.EarliestLimitRoom ||
+                           *Limited.RoomAt < *Listed.EarliestLimitRoom))
+      Listed.EarliestLimitRoom = Limited.RoomAt;
+    if (!Limited.MayProbe)
+      continue;
     if (!Stats.FirstListedAt)
       Stats.FirstListedAt = Now;
     endEjection(Stats.Outlier, Now);
@@ -299,6 +308,7 @@
                       {Stats.Outlier, Stats.Load, Stats.LoadObservedAt,
                        *Stats.FirstListedAt, ServiceListedAt},
                       HostDomain, Now));
+    Found.back().NeedsProbe = !Limited.MaySend;
   }
   markPreferredSubsets(Found, Preferences);
   return Listed;
@@ -410,6 +420,8 @@
       !judgeShare(Cold, Process.Id, Entry.Registration.Domain, ColdRate, Now)
            .IsAdmitted)
     return false;
+  if (!RateLimits.judge(Entry.Registration).MaySend)
+    return false;
   const auto Known = Pauses.find(Process);
   if (Known == Pauses.end())
     return true;
@@ -425,6 +437,7 @@
   if (Target != Directory.Targets.end() &&
       coldRate(Target->second.Registration.Service) > 0)
     recordRequest(Cold, Process.Id, TimeSource.now());
+  RateLimits.beginAttempt(Process);
   const auto Position = Pauses.find(Process);
   if (Position == Pauses.end() || Position->second.IsResumed)
     return;
@@ -451,6 +464,7 @@
 void GatewayState::withdrawAttempt(const TargetProcess &Process,
                                    TimePoint SentAt) {
   withdrawRequest(Cold, Process.Id, SentAt);
+  RateLimits.withdrawAttempt(Process, SentAt);
 }
 
 // A request from before the pause does not show that the target has room again.
--- a/Services/Gateway/GatewayState.h
+++ b/Services/Gateway/GatewayState.h
@@ -64,6 +64,9 @@
   /// Earliest time at which one of the cold targets that are left out may get a
   /// request again; unset when none is left out because it is cold.
   std::optional<TimePoint> EarliestColdRoom;
+  /// Earliest time at which one of the targets that are left out because they
+  /// limit their requests may get one again; unset when there are none.
+  std::optional<TimePoint> EarliestLimitRoom;
 };
 
 /// Numbers of failed and successful attempts at one target.
@@ -210,8 +213,9 @@
   std::vector<TargetProcess> takeUnsharedCold();
   /// True when the configuration limits the requests to cold targets.
   bool limitsColdTargets() const { return HasColdLimits; }
-  /// Updates the hosts among which cold targets are assigned.
-  void updateDomainHosts(const DomainHosts &Hosts);
+  /// Updates the hosts of the domain, among which cold targets and limits are
+  /// shared, and the number of hosts of the fleet.
+  void updateHosts(const DomainHosts &Hosts, std::size_t FleetHosts);
   /// True when the process may receive one more request of this host.
   bool admitsAttempt(const TargetProcess &Process) const;
   /// Counts a request as in flight at the process until endAttempt().
--- a/Services/Gateway/RateLimitedTargets.cpp
+++ b/Services/Gateway/RateLimitedTargets.cpp
@@ -1,5 +1,7 @@
 #include "RateLimitedTargets.h"
 
+#include <LibPlaces/RateLimitShare.h>
+
 #include <algorithm>
 
 namespace comfreyrill {
@@ -16,11 +18,30 @@
   return Source == RateLimitSource::Probe ? "probe" : "answer";
 }
 
+// A target whose answers to probes name the limit is probed before a request is
+// sent as a check, so that its answer decides.
+RateLimitVerdict decide(const TargetRateLimit &Limit, const ShareVerdict &Share,
+                        TimePoint Now) {
+  if (Share.IsAdmitted)
+    return {};
+  if (Now >= Limit.RecheckAt)
+    return {true, !Limit.IsNamedByProbes, std::nullopt};
+  return {false, false, roomAt(Share, TimePoint::max(), Now)};
+}
+
 } // namespace
 
 RateLimitedTargets::RateLimitedTargets(const Clock &TimeSource,
+                                       Random &Generator,
                                        RateLimitedLog &Events)
-    : TimeSource(TimeSource), Events(Events) {}
+    : TimeSource(TimeSource), Generator(Generator), Events(Events),
+      Shares(rateLimitShare) {}
+
+void RateLimitedTargets::updateHosts(const DomainHosts &Hosts,
+                                     std::size_t KnownHosts) {
+  FleetHosts = KnownHosts;
+  comfreyrill::updateHosts(Shares, Hosts, TimeSource.now());
+}
 
 void RateLimitedTargets::record(const TargetProcess &Process,
                                 double RequestsPerSecond,
@@ -35,7 +56,8 @@
           return One.second.NamedAt < Other.second.NamedAt;
         }));
   TargetRateLimit &Limit = IsNew ? Limits[Process] : Position->second;
-  recordRateLimit(Limit, RequestsPerSecond, Source, TimeSource.now());
+  recordRateLimit(Limit, RequestsPerSecond, Source, FleetHosts,
+                  TimeSource.now(), Generator);
   Counts.Begun += IsNew ? 1 : 0;
   Counts.Changed += IsChanged ? 1 : 0;
   if (IsNew || IsChanged)
@@ -64,6 +86,45 @@
   });
 }
 
+RateLimitVerdict
+RateLimitedTargets::judge(const TargetRegistration &Registered) const {
+  const auto Known = Limits.find(processOf(Registered));
+  if (Known == Limits.end())
+    return {};
+  const TimePoint Now = TimeSource.now();
+  return decide(Known->second,
+                judgeShare(Shares, Registered.Id, Registered.Domain,
+                           Known->second.RequestsPerSecond, Now),
+                Now);
+}
+
+RateLimitVerdict
+RateLimitedTargets::preview(const TargetRegistration &Registered) const {
+  const auto Known = Limits.find(processOf(Registered));
+  if (Known == Limits.end())
+    return {};
+  const TimePoint Now = TimeSource.now();
+  return decide(Known->second,
+                previewShare(Shares, Registered.Id, Registered.Domain,
+                             Known->second.RequestsPerSecond, Now),
+                Now);
+}
+
+void RateLimitedTargets::beginAttempt(const TargetProcess &Process) {
+  const auto Known = Limits.find(Process);
+  if (Known == Limits.end())
+    return;
+  const TimePoint Now = TimeSource.now();
+  recordRequest(Shares, Process.Id, Now);
+  if (Now >= Known->second.RecheckAt)
+    postponeRecheck(Known->second, FleetHosts, Now, Generator);
+}
+
+void RateLimitedTargets::withdrawAttempt(const TargetProcess &Process,
+                                         TimePoint SentAt) {
+  withdrawRequest(Shares, Process.Id, SentAt);
+}
+
 void RateLimitedTargets::log(std::string_view Event,
                              const TargetProcess &Process,
                              const TargetRateLimit &Limit,
--- a/Services/Gateway/RequestExecution.cpp
+++ b/Services/Gateway/RequestExecution.cpp
@@ -29,6 +29,10 @@
   return Limits;
 }
 
+bool needsProbe(const TargetCandidate &Candidate) {
+  return Candidate.NeedsProbe;
+}
+
 std::uint64_t milliseconds(Duration Time) {
   return static_cast<std::uint64_t>(
       std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -271,6 +275,8 @@
     Input.UntilPauseEnd = *Listed.EarliestPauseEnd - Now;
   if (Listed.EarliestColdRoom)
     Input.UntilColdRoom = *Listed.EarliestColdRoom - Now;
+  if (Listed.EarliestLimitRoom)
+    Input.UntilLimitRoom = *Listed.EarliestLimitRoom - Now;
   Input.ExpectedTime = workTime();
   Input.TimeLeft = Deadline - Now;
   Input.ComesBack = !HasCallerLeft;
@@ -351,6 +357,7 @@
 RequestExecution::connectWithoutProbe(const std::vector<ConnectedTarget> &Found,
                                       std::vector<TargetCandidate> Candidates) {
   std::vector<ConnectedTarget> Connected;
+  std::erase_if(Candidates, needsProbe);
   if (!Found.empty() || Candidates.empty())
     co_return Connected;
   auto Chosen = selectProbeCandidates(
@@ -461,7 +468,8 @@
 RequestExecution::findTargetFromCachedLoad() {
   // A request that stays uses another domain only after a probe.
   DomainChoice.MayUseNeighbors = false;
-  const auto Candidates = usableCandidates();
+  auto Candidates = usableCandidates();
+  std::erase_if(Candidates, needsProbe);
   const auto Index = selectFromCachedLoad(Candidates, Dependencies.Generator);
   if (!Index)
     co_return std::nullopt;
--- a/Services/Gateway/RequestExplainer.cpp
+++ b/Services/Gateway/RequestExplainer.cpp
@@ -187,12 +187,20 @@
         takeEarlier(Input.UntilColdRoom, *Target.ExcludedFor);
       }
     }
+    const RateLimitVerdict Limited =
+        CurrentState.rateLimits().preview(Registered);
+    if (Target.Exclusion == TargetExclusion::None && !Limited.MayProbe) {
+      Target.Exclusion = TargetExclusion::RateLimited;
+      Target.ExcludedFor = *Limited.RoomAt - Now;
+      takeEarlier(Input.UntilLimitRoom, *Target.ExcludedFor);
+    }
     if (Target.Exclusion == TargetExclusion::None) {
       TargetCandidate Candidate =
           makeCandidate(Facts,
                         {Outlier, Stats.Load, Stats.LoadObservedAt,
                          Stats.FirstListedAt.value_or(Now), ServiceListedAt},
                         Dependencies.HostDomain, Now);
+      Candidate.NeedsProbe = !Limited.MaySend;
       Candidate.HasIdleConnection =
           Dependencies.Pool.hasIdle(Registered.Address);
       Target.IsOnProbation = Candidate.IsOnProbation;
--- a/Tests/Gateway/TestGatewayState.cpp
+++ b/Tests/Gateway/TestGatewayState.cpp
@@ -62,7 +62,7 @@
   void runAlone(Duration Time) {
     for (Duration Passed{0}; Passed < Time; Passed += 50ms) {
       TimeSource.advance(50ms);
-      CurrentState.updateDomainHosts(domainHosts(0, 1));
+      CurrentState.updateHosts(domainHosts(0, 1), 1);
     }
   }
 
@@ -765,7 +765,7 @@
     TimeSource.advance(20ms);
     for (std::size_t Host = 0; Host < HostCount; ++Host) {
       GatewayState &State = *Hosts[Host];
-      State.updateDomainHosts(domainHosts(Host, HostCount));
+      State.updateHosts(domainHosts(Host, HostCount), HostCount);
       const auto Found =
           State.candidates(ServiceName("stock"), FailureDomain("west")).Targets;
       ASSERT_FALSE(Found.empty());
--- a/Tests/Gateway/TestRateLimitFleet.cpp
+++ b/Tests/Gateway/TestRateLimitFleet.cpp
@@ -85,7 +85,7 @@
   void shareViews() {
     for (auto &Host : Hosts)
       if (Host->IsRunning)
-        Host->State.updateDomainHosts(Host->View);
+        Host->State.updateHosts(Host->View, Hosts.size());
   }
 
   void stop(FleetHost &Stopped) {
@@ -221,5 +221,77 @@
     }
 }
 
+// Guards against hosts that exceed the limit when some have failed or take
+// others for lost.
+TEST_F(RateLimitFleet, LimitHoldsWhenHostsFailAndViewsDiffer) {
+  makeHosts(2, 8);
+  for (const double Named : {1.0, 3.0, 12.0}) {
+    Limit.reset();
+    run(20s);
+    FromTold.clear();
+    Limit = Named;
+    const TimePoint NamedAt = TimeSource.now();
+    run(10s);
+    // The halves of the domain do not hear each other.
+    for (std::size_t Index = 0; Index < 8; ++Index)
+      for (DomainHost &Other : Hosts[Index]->View.Others)
+        Other.IsLive = (Other.Host < HostId("h4")) == (Index < 4);
+    run(20s);
+    for (auto &Host : Hosts)
+      Host->View = viewOf(*Host);
+    run(10s);
+    EXPECT_LE(largestCount(NamedAt), allowedCount()) << Named;
+  }
+  Limit = 1;
+  const TimePoint NamedAt = TimeSource.now();
+  for (std::size_t Index = 0; Index < 7; ++Index) {
+    stop(*Hosts[Index]);
+    run(5s);
+  }
+  EXPECT_LE(largestCount(NamedAt), allowedCount());
+}
+
+// Guards against limits that hold because nothing is sent.
+TEST_F(RateLimitFleet, LimitIsUsedByTheHostsOfTheDomain) {
+  makeHosts(4, 5);
+  for (const double Named : {0.5, 1.5, 12.0}) {
+    Limit = Named;
+    run(10s);
+    Sent = 0;
+    run(60s);
+    EXPECT_GE(static_cast<double>(Sent), 60 * Named * 0.5) << Named;
+  }
+}
+
+// Guards against targets that stay out of use when their limits have ended.
+TEST_F(RateLimitFleet, AllHostsUseTheTargetAgainAfterTheLimit) {
+  makeHosts(4, 5);
+  Limit = 1;
+  run(20s);
+  Limit.reset();
+  run(10s);
+  Sent = 0;
+  run(10s);
+  EXPECT_GE(static_cast<double>(Sent), 10 * RequestsPerHostAndSecond *
+                                           static_cast<double>(Hosts.size()) *
+                                           0.9);
+}
+
+// Guards against a host that takes another process for a limited one.
+TEST_F(RateLimitFleet, LimitEndsWithTheProcessOfTheTarget) {
+  makeHosts(1, 1);
+  FleetHost &Host = *Hosts.front();
+  TargetSignals Signals;
+  Signals.RateLimit = 0;
+  Host.State.recordSignals(processOf(target()), target().Address, Signals,
+                           SignalSource::Answer);
+  EXPECT_TRUE(Host.State.candidates(Stock, Host.Domain).Targets.empty());
+  TargetRegistration Restarted = target();
+  Restarted.StartedAtMilliseconds = 1;
+  Host.State.applyTargetChange({Restarted.Id, Restarted, {2}}, "test");
+  EXPECT_EQ(Host.State.candidates(Stock, Host.Domain).Targets.size(), 1U);
+  EXPECT_TRUE(Host.State.admitsAttempt(processOf(Restarted)));
+}
+
 } // namespace
 } // namespace comfreyrill
--- a/Tests/Gateway/TestRequestExplainer.cpp
+++ b/Tests/Gateway/TestRequestExplainer.cpp
@@ -66,7 +66,7 @@
     CurrentState.recordSignals({TargetId("paused"), 0}, {"10.0.0.1", 8080},
                                Pausing, SignalSource::Probe);
     CurrentState.recordCold({TargetId("cold"), 0}, 1min, SignalSource::Probe);
-    CurrentState.updateDomainHosts({HostId("h"), FailureDomain("west"), {}});
+    CurrentState.updateHosts({HostId("h"), FailureDomain("west"), {}}, 1);
     CurrentState.applyEvacuationReport({{1}, {FailureDomain("east")}}, "test");
   }
 
@@ -136,7 +136,7 @@
 TEST_F(RequestExplainerTest, ExplainingChangesNothing) {
   addAllKinds();
   TimeSource.advance(30s);
-  CurrentState.updateDomainHosts({HostId("h"), FailureDomain("west"), {}});
+  CurrentState.updateHosts({HostId("h"), FailureDomain("west"), {}}, 1);
   const Random Before = Host.Generator;
   explain();
   explain();
--- a/Tests/LibRouting/TestTargetRateLimit.cpp
+++ b/Tests/LibRouting/TestTargetRateLimit.cpp
@@ -7,28 +7,58 @@
 
 using namespace std::chrono_literals;
 
-const TimePoint Start{std::chrono::hours(1)};
+class TargetRateLimitTest : public testing::Test {
+protected:
+  void name(RateLimitSource Source, TimePoint At, double PerSecond = 2,
+            std::size_t Hosts = 10) {
+    recordRateLimit(Limit, PerSecond, Source, Hosts, At, Generator);
+  }
 
-// Guards against a limit that ends with an answer from before it was named.
-TEST(TargetRateLimit, OnlyAnswersToLaterRequestsEndIt) {
+  const TimePoint Start{std::chrono::hours(1)};
+  Random Generator{20261207};
   TargetRateLimit Limit;
-  recordRateLimit(Limit, 2, RateLimitSource::Answer, Start);
+};
+
+// Guards against a limit that ends with an answer from before it was named.
+TEST_F(TargetRateLimitTest, OnlyAnswersToLaterRequestsEndIt) {
+  name(RateLimitSource::Answer, Start);
   EXPECT_FALSE(endsRateLimit(Limit, RateLimitSource::Answer, Start - 1ms));
   EXPECT_TRUE(endsRateLimit(Limit, RateLimitSource::Answer, Start));
-  recordRateLimit(Limit, 2, RateLimitSource::Answer, Start + 1s);
+  name(RateLimitSource::Answer, Start + 1s);
   EXPECT_FALSE(endsRateLimit(Limit, RateLimitSource::Answer, Start));
 }
 
 // Guards against a limit that ends with every probe of a target whose health
 // path does not name limits.
-TEST(TargetRateLimit, ProbesEndItOnlyWhereTheyNameLimits) {
-  TargetRateLimit Limit;
-  recordRateLimit(Limit, 2, RateLimitSource::Answer, Start);
+TEST_F(TargetRateLimitTest, ProbesEndItOnlyWhereTheyNameLimits) {
+  name(RateLimitSource::Answer, Start);
   EXPECT_FALSE(endsRateLimit(Limit, RateLimitSource::Probe, Start + 1s));
-  recordRateLimit(Limit, 2, RateLimitSource::Probe, Start);
-  recordRateLimit(Limit, 2, RateLimitSource::Answer, Start);
+  name(RateLimitSource::Probe, Start);
+  name(RateLimitSource::Answer, Start);
   EXPECT_TRUE(endsRateLimit(Limit, RateLimitSource::Probe, Start + 1s));
 }
 
+// Guards against checks by request that together exceed the limit.
+TEST_F(TargetRateLimitTest, ChecksByRequestAreAFractionOfTheLimit) {
+  for (const double PerSecond : {0.0, 0.1, 1.0, 20.0})
+    for (const std::size_t Hosts : {1U, 17U, 313U}) {
+      double Checks = 0;
+      for (std::size_t Host = 0; Host < Hosts; ++Host) {
+        Limit = {};
+        name(RateLimitSource::Answer, Start, PerSecond, Hosts);
+        EXPECT_GE(Limit.RecheckAt, Start + 5s);
+        Checks +=
+            1 / std::chrono::duration<double>(Limit.RecheckAt - Start).count();
+      }
+      EXPECT_LE(Checks, 0.4 * std::max(PerSecond, 0.5) + 0.2);
+    }
+}
+
+// Guards against targets that stay out of use long after their limits.
+TEST_F(TargetRateLimitTest, ChecksByProbeAreFrequent) {
+  name(RateLimitSource::Probe, Start, 1, 1000);
+  EXPECT_LE(Limit.RecheckAt, Start + 5s);
+}
+
 } // namespace
 } // namespace comfreyrill
--- a/Utilities/Client/ExplainText.cpp
+++ b/Utilities/Client/ExplainText.cpp
@@ -28,6 +28,8 @@
     ReasonText{"paused", "all targets that it could use are paused"},
     ReasonText{"cold", "all targets that it could use are cold and have had "
                        "the requests that they bear"},
+    ReasonText{"rate_limited", "all targets that it could use limit their "
+                               "requests and have had as many as they take"},
     ReasonText{"no_target", "no target of the service can be used"},
     ReasonText{"overloaded", "no free slot would answer it in time"},
     ReasonText{"draining", "the host shuts down before the request would end"},
@@ -50,6 +52,8 @@
     ReasonText{"evacuated", "its domain is evacuated"},
     ReasonText{"paused", "it is paused or resumes after a pause"},
     ReasonText{"cold", "it is cold and this host has no room in its budget"},
+    ReasonText{"rate_limited", "it limits its requests and this host has no "
+                               "room in its share"},
     ReasonText{"other_domain", "the request may not use its domain"},
     ReasonText{"ejected", "it is ejected after failures"},
     ReasonText{"probation", "it is on probation after failures"},
