Gateway: Log when a host loses its targets

Each host now counts the targets that fail since the last answer of any target, and those without a connection since the last new one, logs when it is cut off or cannot connect and when that ends, and has a gauge for it. Requests are handled as before.

--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -314,7 +314,7 @@
 HttpResponse Gateway::handleMetrics() {
   GatewayMetrics &ProcessMetrics = Dependencies->ProcessMetrics;
   const auto &Members = *Registry.find<MemberTable>("members").value();
-  const auto &CurrentState = Dependencies->CurrentState;
+  auto &CurrentState = Dependencies->CurrentState;
   ProcessMetrics.setGauge("configuration_version",
                           static_cast<double>(CurrentState.version().Value));
   ProcessMetrics.setGauge(
@@ -328,6 +328,10 @@
   ProcessMetrics.counter("targets_leaving_total") = Signalled.Leaving;
   ProcessMetrics.counter("targets_paused_total") = Signalled.Paused;
   ProcessMetrics.counter("targets_resumed_total") = Signalled.Resumed;
+  ProcessMetrics.setGauge("targets_unreachable",
+                          CurrentState.reachability().isCutOff() ? 1 : 0);
+  ProcessMetrics.counter("targets_unreachable_total") =
+      CurrentState.reachability().cutOffCount();
   const RateLimitCounts &Limited = CurrentState.rateLimits().counts();
   ProcessMetrics.setGauge(
       "rate_limited_targets",
--- a/Services/Gateway/GatewayState.cpp
+++ b/Services/Gateway/GatewayState.cpp
@@ -56,7 +56,8 @@
 GatewayState::GatewayState(const Clock &TimeSource, Random &Generator,
                            RateLimitedLog &Events)
     : TimeSource(TimeSource), Generator(Generator), Events(Events),
-      RateLimits(TimeSource, Generator, Events) {}
+      RateLimits(TimeSource, Generator, Events),
+      Reachability(Directory, Events) {}
 
 ConfigurationVersion GatewayState::version() const {
   return CurrentConfiguration ? CurrentConfiguration->Version
--- a/Services/Gateway/GatewayState.h
+++ b/Services/Gateway/GatewayState.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "RateLimitedTargets.h"
+#include "ReachabilityMonitor.h"
 
 #include <LibCore/Random.h>
 #include <LibGateway/Configuration.h>
@@ -194,6 +195,7 @@
   void recordUnlimited(const TargetProcess &Process, SignalSource Source,
                        TimePoint SentAt);
   const RateLimitedTargets &rateLimits() const { return RateLimits; }
+  ReachabilityMonitor &reachability() { return Reachability; }
   /// Takes a process of a target out of use for good.
   void recordLeaving(const TargetProcess &Process, SignalSource Source);
   /// Returns the leaving processes that this host has found since the last
@@ -306,6 +308,7 @@
   /// because a registration that has disappeared may come back.
   std::map<TargetProcess, KnownPause> Pauses;
   RateLimitedTargets RateLimits;
+  ReachabilityMonitor Reachability;
   std::vector<TargetProcess> UnsharedLeaving;
   SignalCounts Signalled;
 };
--- /dev/null
+++ b/Services/Gateway/ReachabilityMonitor.cpp
@@ -0,0 +1,53 @@
+#include "ReachabilityMonitor.h"
+
+#include <utility>
+
+namespace comfreyrill {
+
+ReachabilityMonitor::ReachabilityMonitor(const TargetDirectory &Directory,
+                                         RateLimitedLog &Events)
+    : Directory(Directory), Events(Events) {}
+
+void ReachabilityMonitor::onConnectionFailure(const TargetId &Target) {
+  recordConnectionFailure(State, Target);
+  update();
+}
+
+void ReachabilityMonitor::onConnection() {
+  recordConnection(State);
+  update();
+}
+
+void ReachabilityMonitor::onSilence(const TargetId &Target) {
+  recordSilence(State, Target);
+  update();
+}
+
+void ReachabilityMonitor::onAnswer() {
+  recordAnswer(State);
+  update();
+}
+
+void ReachabilityMonitor::update() {
+  const std::size_t Known = Directory.Targets.size();
+  const bool WasCutOff =
+      std::exchange(IsCutOff, comfreyrill::isCutOff(State, Known));
+  const bool CouldNotConnect =
+      std::exchange(CannotConnect, comfreyrill::cannotConnect(State, Known));
+  const auto Log = [&](std::string_view Event) {
+    LogLine Line(Event);
+    Line.field("targets", std::uint64_t{Known});
+    Events.writeAlways(LogLevel::Warning, Line);
+  };
+  if (CannotConnect != CouldNotConnect)
+    Log(CannotConnect ? "target_connections_failing"
+                      : "target_connections_restored");
+  if (IsCutOff == WasCutOff)
+    return;
+  Log(IsCutOff ? "targets_unreachable" : "targets_reachable");
+  CutOffCount += IsCutOff ? 1 : 0;
+  if (IsCutOff && Listener)
+    Listener();
+}
+
+} // namespace comfreyrill
--- /dev/null
+++ b/Services/Gateway/ReachabilityMonitor.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <LibGateway/TargetDirectory.h>
+#include <LibGateway/TargetReachability.h>
+#include <LibLog/RateLimitedLog.h>
+
+#include <cstdint>
+#include <functional>
+
+namespace comfreyrill {
+
+/// Finds out whether this host reaches targets, from what its probes, requests
+/// and connections experience, and logs each change.
+class ReachabilityMonitor {
+public:
+  ReachabilityMonitor(const TargetDirectory &Directory, RateLimitedLog &Events);
+
+  /// The connection to a target failed or was not made in time.
+  void onConnectionFailure(const TargetId &Target);
+  void onConnection();
+  /// A target has not answered a probe on an open connection.
+  void onSilence(const TargetId &Target);
+  void onAnswer();
+
+  bool isCutOff() const { return IsCutOff; }
+  bool cannotConnect() const { return CannotConnect; }
+  /// Number of times that this host was cut off.
+  std::uint64_t cutOffCount() const { return CutOffCount; }
+
+  /// Called when this host is cut off.
+  void onCutOff(std::function<void()> NewListener) {
+    Listener = std::move(NewListener);
+  }
+
+private:
+  void update();
+
+  const TargetDirectory &Directory;
+  RateLimitedLog &Events;
+  TargetReachability State;
+  bool IsCutOff = false;
+  bool CannotConnect = false;
+  std::uint64_t CutOffCount = 0;
+  std::function<void()> Listener;
+};
+
+} // namespace comfreyrill
--- a/Services/Gateway/RequestExecution.cpp
+++ b/Services/Gateway/RequestExecution.cpp
@@ -576,6 +576,7 @@
   bool HasAskedForPause = false;
   bool IsConnectionLost = false;
   if (Answer) {
+    Dependencies.CurrentState.reachability().onAnswer();
     HeldAnswer.hold(Answer.value().body().size());
     if (Dependencies.Domains != nullptr)
       Dependencies.Domains->recordAnswer(Service, *SelectedRoute,
--- a/Services/Gateway/TargetProber.cpp
+++ b/Services/Gateway/TargetProber.cpp
@@ -83,6 +83,7 @@
       CurrentState.targets().Targets.at(Candidate.Id).Registration.Address;
   const TimePoint Deadline = Dependencies.TimeSource.now() + ProbeTimeout;
 
+  const bool IsNewConnection = !Dependencies.Pool.hasIdle(Address);
   auto Acquired =
       co_await Dependencies.Pool.acquire(Address, Deadline, Current->Request);
   if (Acquired && !CurrentState.mayUseFor(Current->Service, Process)) {
@@ -90,6 +91,10 @@
     finishProbe(*Current);
     co_return;
   }
+  if (!Acquired)
+    CurrentState.reachability().onConnectionFailure(Candidate.Id);
+  else if (IsNewConnection)
+    CurrentState.reachability().onConnection();
   ++Dependencies.ProcessMetrics.counter("probes_total");
   bool IsConnectionFailure = !Acquired;
   bool IsAnswered = false;
@@ -110,6 +115,10 @@
         });
     if (!Answer && Answer.error().IncompleteResponse)
       RecordSignals(*Answer.error().IncompleteResponse);
+    if (Answer)
+      CurrentState.reachability().onAnswer();
+    else
+      CurrentState.reachability().onSilence(Candidate.Id);
     if (Answer) {
       const ProbeAnswer Read = platform::decodeProbeAnswer(Answer.value());
       const bool IsMisdirected =
@@ -165,10 +174,12 @@
   auto Connected = co_await Dependencies.Pool.connect(
       Address, Dependencies.TimeSource.now() + ProbeTimeout);
   if (!Connected) {
+    Dependencies.CurrentState.reachability().onConnectionFailure(Candidate.Id);
     Dependencies.CurrentState.recordFailure(Candidate.Id,
                                             TargetFailure::Connection);
     co_return std::nullopt;
   }
+  Dependencies.CurrentState.reachability().onConnection();
   const LoadReport Load = Candidate.LastLoad.value_or(LoadReport{});
   co_return ConnectedTarget{{std::move(Candidate), Load, true},
                             Address,
