Gateway: Relay requests while a host reaches no target

Cause: a host judges each target by itself and has no way to one that it cannot connect to.

A host that is cut off now sends requests to another host, of its own failure domain first, in the way in which callers do, with the attempts and the time that are left; the other host authorizes, places and answers and never relays again. A host that is cut off itself refuses a relayed request at once, and the next one is asked. A host that only cannot make connections relays what it would refuse. Three probes every 250 ms find out that targets are reached again; failures of the host are no longer held against targets, nor are probes that were lost before the last answer.

--- a/Libraries/LibGateway/Admission.cpp
+++ b/Libraries/LibGateway/Admission.cpp
@@ -53,6 +53,8 @@
     return "cold";
   case RefusalCause::RateLimited:
     return "rate_limited";
+  case RefusalCause::CutOff:
+    return "cut_off";
   case RefusalCause::Quarantined:
     return "quarantined";
   case RefusalCause::Draining:
@@ -66,12 +68,13 @@
 // The delay is randomized, so that rejected callers do not retry at the same
 // time. Under overload the delays spread over one processing time, in which
 // each slot becomes free about once. When only the retry budget is exhausted or
-// this host shuts down, there is free capacity, and the caller's retry is a new
-// request that the budget allows and that goes to another host.
+// this host shuts down or is cut off, there is free capacity, and the caller's
+// retry is a new request that the budget allows and that goes to another host.
 Duration retryAfter(RefusalCause Cause, Duration ProcessingTime,
                     Random &Generator) {
-  const bool HasFreeCapacity =
-      Cause == RefusalCause::RetryBudget || Cause == RefusalCause::Draining;
+  const bool HasFreeCapacity = Cause == RefusalCause::RetryBudget ||
+                               Cause == RefusalCause::Draining ||
+                               Cause == RefusalCause::CutOff;
   std::uniform_real_distribution<double> Factor(HasFreeCapacity ? 0.05 : 0.5,
                                                 HasFreeCapacity ? 0.25 : 1.5);
   return std::chrono::duration_cast<Duration>(ProcessingTime *
--- a/Libraries/LibGateway/Admission.h
+++ b/Libraries/LibGateway/Admission.h
@@ -55,6 +55,8 @@
   /// All targets that the request could use limit their requests and have got
   /// as many as they take.
   RateLimited,
+  /// This host reaches no target, and no other host has taken the request.
+  CutOff,
   /// Copies of the request have crashed targets.
   Quarantined,
   /// The host shuts down before the request would have ended.
--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -10,6 +10,14 @@
 
 namespace comfreyrill {
 
+/// What a host tells another one of a request that it relays.
+struct RelayMetadata {
+  /// Attempts that the request may still have.
+  std::uint32_t AttemptsMaximum = 1;
+  /// IP address of the caller.
+  std::string CallerAddress;
+};
+
 /// Fields of a caller's request that routing needs.
 struct RequestMetadata {
   /// Empty when the caller sent none.
@@ -21,6 +29,8 @@
   /// Key of a client account; empty when the caller sent none. It must not be
   /// logged.
   std::string AccessKey;
+  /// Set when another host has relayed the request.
+  std::optional<RelayMetadata> Relayed;
 };
 
 /// What the sender of an answer says about itself, in an answer of any kind.
--- a/Libraries/LibGateway/TargetReachability.cpp
+++ b/Libraries/LibGateway/TargetReachability.cpp
@@ -19,21 +19,31 @@
 
 } // namespace
 
-void recordSilence(TargetReachability &State, const TargetId &Target) {
-  if (State.Silent.size() < FailedTargetsMinimum)
+// What was sent before the last answer may have been lost before the links were
+// restored.
+void recordSilence(TargetReachability &State, const TargetId &Target,
+                   TimePoint SentAt) {
+  if (SentAt >= State.AnsweredAt && State.Silent.size() < FailedTargetsMinimum)
     State.Silent.insert(Target);
 }
 
-void recordConnectionFailure(TargetReachability &State,
-                             const TargetId &Target) {
-  recordSilence(State, Target);
-  if (State.Unconnected.size() < FailedTargetsMinimum)
+void recordConnectionFailure(TargetReachability &State, const TargetId &Target,
+                             TimePoint BeganAt) {
+  recordSilence(State, Target, BeganAt);
+  if (BeganAt >= State.ConnectedAt &&
+      State.Unconnected.size() < FailedTargetsMinimum)
     State.Unconnected.insert(Target);
 }
 
-void recordConnection(TargetReachability &State) { State.Unconnected.clear(); }
+void recordConnection(TargetReachability &State, TimePoint Now) {
+  State.Unconnected.clear();
+  State.ConnectedAt = Now;
+}
 
-void recordAnswer(TargetReachability &State) { State.Silent.clear(); }
+void recordAnswer(TargetReachability &State, TimePoint Now) {
+  State.Silent.clear();
+  State.AnsweredAt = Now;
+}
 
 bool isCutOff(const TargetReachability &State, std::size_t KnownTargets) {
   return haveAllFailed(State.Silent, KnownTargets);
--- a/Libraries/LibGateway/TargetReachability.h
+++ b/Libraries/LibGateway/TargetReachability.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCore/Clock.h>
 #include <LibCore/Ids.h>
 
 #include <cstddef>
@@ -16,13 +17,19 @@
   /// Targets to which no connection could be made since the last connection to
   /// any target.
   std::set<TargetId> Unconnected;
+  TimePoint AnsweredAt = TimePoint::min();
+  TimePoint ConnectedAt = TimePoint::min();
 };
 
-void recordSilence(TargetReachability &State, const TargetId &Target);
-void recordConnectionFailure(TargetReachability &State, const TargetId &Target);
-void recordConnection(TargetReachability &State);
+/// Records that a target has not answered what was sent at SentAt.
+void recordSilence(TargetReachability &State, const TargetId &Target,
+                   TimePoint SentAt);
+/// Records that a connection that was begun at BeganAt could not be made.
+void recordConnectionFailure(TargetReachability &State, const TargetId &Target,
+                             TimePoint BeganAt);
+void recordConnection(TargetReachability &State, TimePoint Now);
 /// Records that a target has answered a probe or a request.
-void recordAnswer(TargetReachability &State);
+void recordAnswer(TargetReachability &State, TimePoint Now);
 
 /// True when this host reaches no target, neither on open connections nor on
 /// new ones. KnownTargets is the number of registered targets.
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -4,6 +4,7 @@
 #include "MetricsListener.h"
 #include "RequestExecution.h"
 #include "RequestExplainer.h"
+#include "RequestRelay.h"
 
 #include <LibGateway/RouteTable.h>
 #include <LibMembership/StoreRole.h>
@@ -87,6 +88,7 @@
   TRY(const auto Evacuations,
       Registry.find<EvacuationExchange>("evacuation_exchange"));
   Evacuations->start();
+  Dependencies->Relay->start();
   asio::co_spawn(Loop, runMaintenance(), asio::detached);
   return outcome::success();
 }
@@ -192,7 +194,12 @@
   TRY(Registry.add("store_connections", StoreConnections));
   TRY(Registry.add("store_client", Client));
   TRY(Registry.add("store", Store));
-  TRY(Registry.add("prober", std::make_shared<TargetProber>(*Dependencies)));
+  const auto Prober = std::make_shared<TargetProber>(*Dependencies);
+  const auto Relay = std::make_shared<RequestRelay>(*Dependencies, *Members,
+                                                    *Domains, *Prober);
+  Dependencies->Relay = Relay.get();
+  TRY(Registry.add("prober", Prober));
+  TRY(Registry.add("relay", Relay));
   return outcome::success();
 }
 
@@ -407,6 +414,7 @@
       co_return;
     Connections.closeExpired();
     StoreConnections.closeExpired();
+    Dependencies->Relay->closeExpired();
     if (Dependencies->CurrentState.removeExpired() && Store.isSynchronized())
       Replicator.publish(UpdateSource::Store);
   }
--- a/Services/Gateway/GatewayDependencies.h
+++ b/Services/Gateway/GatewayDependencies.h
@@ -16,6 +16,7 @@
 namespace comfreyrill {
 
 class DomainRouting;
+class RequestRelay;
 
 /// Dependencies that are passed to the constructors of the gateway's services.
 /// All referenced objects outlive the services.
@@ -47,6 +48,8 @@
       AcquireToken = {};
   /// Returns the token of a request that was refused for another reason.
   std::function<void(const AccountName &)> ReturnToken = {};
+  /// Passes requests on to other hosts; null when there are none.
+  RequestRelay *Relay = nullptr;
 };
 
 } // namespace comfreyrill
--- a/Services/Gateway/GatewayState.cpp
+++ b/Services/Gateway/GatewayState.cpp
@@ -57,7 +57,7 @@
                            RateLimitedLog &Events)
     : TimeSource(TimeSource), Generator(Generator), Events(Events),
       RateLimits(TimeSource, Generator, Events),
-      Reachability(Directory, Events) {}
+      Reachability(TimeSource, Directory, Events) {}
 
 ConfigurationVersion GatewayState::version() const {
   return CurrentConfiguration ? CurrentConfiguration->Version
--- a/Services/Gateway/ReachabilityMonitor.cpp
+++ b/Services/Gateway/ReachabilityMonitor.cpp
@@ -4,27 +4,29 @@
 
 namespace comfreyrill {
 
-ReachabilityMonitor::ReachabilityMonitor(const TargetDirectory &Directory,
+ReachabilityMonitor::ReachabilityMonitor(const Clock &TimeSource,
+                                         const TargetDirectory &Directory,
                                          RateLimitedLog &Events)
-    : Directory(Directory), Events(Events) {}
+    : TimeSource(TimeSource), Directory(Directory), Events(Events) {}
 
-void ReachabilityMonitor::onConnectionFailure(const TargetId &Target) {
-  recordConnectionFailure(State, Target);
+void ReachabilityMonitor::onConnectionFailure(const TargetId &Target,
+                                              TimePoint BeganAt) {
+  recordConnectionFailure(State, Target, BeganAt);
   update();
 }
 
 void ReachabilityMonitor::onConnection() {
-  recordConnection(State);
+  recordConnection(State, TimeSource.now());
   update();
 }
 
-void ReachabilityMonitor::onSilence(const TargetId &Target) {
-  recordSilence(State, Target);
+void ReachabilityMonitor::onSilence(const TargetId &Target, TimePoint SentAt) {
+  recordSilence(State, Target, SentAt);
   update();
 }
 
 void ReachabilityMonitor::onAnswer() {
-  recordAnswer(State);
+  recordAnswer(State, TimeSource.now());
   update();
 }
 
--- a/Services/Gateway/ReachabilityMonitor.h
+++ b/Services/Gateway/ReachabilityMonitor.h
@@ -13,13 +13,14 @@
 /// and connections experience, and logs each change.
 class ReachabilityMonitor {
 public:
-  ReachabilityMonitor(const TargetDirectory &Directory, RateLimitedLog &Events);
+  ReachabilityMonitor(const Clock &TimeSource, const TargetDirectory &Directory,
+                      RateLimitedLog &Events);
 
   /// The connection to a target failed or was not made in time.
-  void onConnectionFailure(const TargetId &Target);
+  void onConnectionFailure(const TargetId &Target, TimePoint BeganAt);
   void onConnection();
   /// A target has not answered a probe on an open connection.
-  void onSilence(const TargetId &Target);
+  void onSilence(const TargetId &Target, TimePoint SentAt);
   void onAnswer();
 
   bool isCutOff() const { return IsCutOff; }
@@ -35,6 +36,7 @@
 private:
   void update();
 
+  const Clock &TimeSource;
   const TargetDirectory &Directory;
   RateLimitedLog &Events;
   TargetReachability State;
--- a/Services/Gateway/RequestExecution.cpp
+++ b/Services/Gateway/RequestExecution.cpp
@@ -1,5 +1,7 @@
 #include "RequestExecution.h"
 
+#include "RequestRelay.h"
+
 #include <LibGateway/CandidateListing.h>
 #include <LibGateway/PauseWait.h>
 #include <LibGateway/RefusalDecision.h>
@@ -29,6 +31,19 @@
   return Limits;
 }
 
+/// True when another host may serve a request that this one refuses.
+bool isRefusalOfHost(std::string_view Reason,
+                     const ReachabilityMonitor &Reachability) {
+  if (Reason == refusalCauseName(RefusalCause::CutOff) ||
+      Reason == refusalCauseName(RefusalCause::Draining) ||
+      Reason == "no_configuration" || Reason == "evacuations_unknown")
+    return true;
+  const bool IsTargetMissing =
+      Reason == refusalCauseName(RefusalCause::NoTarget) ||
+      Reason == refusalCauseName(RefusalCause::Overloaded);
+  return IsTargetMissing && Reachability.cannotConnect();
+}
+
 bool needsProbe(const TargetCandidate &Candidate) {
   return Candidate.NeedsProbe;
 }
@@ -53,7 +68,10 @@
       IdDigest(std::hash<std::string>{}(Metadata.Id.Value)),
       ReceivedAt(Dependencies.TimeSource.now()),
       SelectionTimer(Dependencies.Context),
-      HeldAnswer(&Dependencies.Messages, MessageKind::Response) {}
+      HeldAnswer(&Dependencies.Messages, MessageKind::Response) {
+  if (Metadata.Relayed && !Metadata.Relayed->CallerAddress.empty())
+    this->CallerAddress = Metadata.Relayed->CallerAddress;
+}
 
 void RequestExecution::cancel() {
   HasCallerLeft = true;
@@ -77,6 +95,20 @@
       findRoute(*CurrentConfiguration, Metadata.Host, Metadata.Path);
   if (SelectedRoute == nullptr)
     co_return refuse(http::status::not_found, "no_route", std::nullopt);
+  Deadline = ReceivedAt + std::min(Metadata.TimeLeft.value_or(DefaultTimeLeft),
+                                   SelectedRoute->Timeout);
+  // The other host authorizes the caller and takes the token.
+  if (Dependencies.CurrentState.reachability().isCutOff() &&
+      !isTooLateInDrain(SelectedRoute->LatencyObjective)) {
+    if (auto Relayed = co_await relay())
+      co_return std::move(*Relayed);
+    if (!IsAlone)
+      co_return refuse(http::status::service_unavailable,
+                       refusalCauseName(RefusalCause::CutOff),
+                       retryAfter(RefusalCause::CutOff,
+                                  SelectedRoute->LatencyObjective,
+                                  Dependencies.Generator));
+  }
   if (auto Rejection = co_await authorizeCaller())
     co_return std::move(*Rejection);
   const ServiceName *Picked =
@@ -90,8 +122,6 @@
   const ServiceDescription *Described =
       findService(*CurrentConfiguration, Service);
   HealthPath = Described == nullptr ? "" : Described->HealthPath;
-  Deadline = ReceivedAt + std::min(Metadata.TimeLeft.value_or(DefaultTimeLeft),
-                                   SelectedRoute->Timeout);
   recordRequest(Dependencies.CurrentState.serviceStats(Service).RetryCounts,
                 Dependencies.RetryPolicy, ReceivedAt);
   if (Dependencies.Domains != nullptr)
@@ -170,7 +200,11 @@
   // response must not claim that the request has not run.
   std::optional<AttemptReport> MayHaveRun;
   AttemptOutcome Last = AttemptOutcome::NotRun;
-  while (!HasCallerLeft && AttemptCount < Matched.AttemptsMaximum &&
+  const std::uint32_t AttemptsMaximum =
+      Metadata.Relayed
+          ? std::min(Matched.AttemptsMaximum, Metadata.Relayed->AttemptsMaximum)
+          : Matched.AttemptsMaximum;
+  while (!HasCallerLeft && AttemptCount < AttemptsMaximum &&
          isSafeToRetry(Matched.Semantics, Last) && !isQuarantined() &&
          !isTooLateInDrain(workTime())) {
     auto Target = co_await findTarget();
@@ -200,9 +234,53 @@
   }
   if (MayHaveRun)
     co_return answerFor(std::move(*MayHaveRun));
+  const bool IsTargetMissing = Refusal == RefusalCause::NoTarget ||
+                               Refusal == RefusalCause::Overloaded ||
+                               Refusal == RefusalCause::CutOff;
+  if (IsTargetMissing && !Invalidity && AttemptCount < AttemptsMaximum &&
+      mayRelay()) {
+    returnToken();
+    if (auto Relayed = co_await relay())
+      co_return std::move(*Relayed);
+  }
   co_return refuseNotRun();
 }
 
+bool RequestExecution::mayRelay() const {
+  const auto &Reachability = Dependencies.CurrentState.reachability();
+  return Dependencies.Relay != nullptr && !Metadata.Relayed && !IsAlone &&
+         !HasCallerLeft &&
+         (Reachability.isCutOff() || Reachability.cannotConnect());
+}
+
+Awaitable<std::optional<HttpResponse>> RequestExecution::relay() {
+  IsAlone = Dependencies.Relay == nullptr;
+  if (!mayRelay())
+    co_return std::nullopt;
+  RelayedRequest Relayed{
+      Request,
+      Metadata.Id,
+      SelectedRoute->Semantics,
+      {SelectedRoute->AttemptsMaximum - AttemptCount, CallerAddress},
+      Deadline,
+      ActiveConnection,
+      HasCallerLeft};
+  RelayResult Result = co_await Dependencies.Relay->relay(Relayed);
+  IsAlone = !Result.HasOtherHosts;
+  if (Result.Answer) {
+    HeldAnswer.hold(Result.Answer->body().size());
+    HttpResponse Answer = platform::encodeAnswer(std::move(*Result.Answer));
+    logRequestEnd(Answer.result_int(), "relayed");
+    co_return Answer;
+  }
+  if (!Result.MayHaveRun)
+    co_return std::nullopt;
+  const bool IsTimedOut = Dependencies.TimeSource.now() >= Deadline;
+  co_return refuse(IsTimedOut ? http::status::gateway_timeout
+                              : http::status::bad_gateway,
+                   "relay_lost", std::nullopt);
+}
+
 std::uint64_t RequestExecution::fingerprint() {
   if (!Fingerprint)
     Fingerprint = callerRequestFingerprint(
@@ -397,6 +475,11 @@
         Found.push_back(std::move(Target));
       }
       Best = selectFound(Probed);
+      if (!Best && mayRelay() &&
+          Dependencies.CurrentState.reachability().isCutOff()) {
+        Refusal = RefusalCause::CutOff;
+        co_return std::nullopt;
+      }
       if (HasCallerLeft || (Best && isGoodEnough(Probed[*Best])))
         break;
     }
@@ -663,6 +746,9 @@
                                       std::optional<Duration> RetryAfter) {
   HttpResponse Answer =
       platform::encodeLocalReply(Status, Metadata.Id, Reason, RetryAfter);
+  if (Metadata.Relayed && Status == http::status::service_unavailable &&
+      isRefusalOfHost(Reason, Dependencies.CurrentState.reachability()))
+    platform::markRelayRefused(Answer);
   logRequestEnd(Answer.result_int(), Reason);
   return Answer;
 }
--- a/Services/Gateway/RequestExecution.h
+++ b/Services/Gateway/RequestExecution.h
@@ -101,6 +101,12 @@
   /// Takes the outcome of an attempt as evidence for or against the request.
   Awaitable<void> recordEvidence(AttemptOutcome Outcome, bool IsConnectionLost,
                                  TargetProcess Process, Endpoint Address);
+  /// Returns true when this host reaches targets too badly to serve the request
+  /// itself, and another host may be asked.
+  bool mayRelay() const;
+  /// Passes the request on to another host. Returns nothing when none has taken
+  /// it.
+  Awaitable<std::optional<HttpResponse>> relay();
   /// Returns the refusal of a request that no attempt may have run.
   HttpResponse refuseNotRun();
   HttpResponse answerFor(AttemptReport Last);
@@ -146,6 +152,8 @@
   /// end of the pauses.
   std::optional<TimePoint> PauseEndsAt;
   bool HasWaitedForPause = false;
+  /// No other host is known that could take the request.
+  bool IsAlone = false;
   /// Set when the request was found to be in quarantine.
   std::optional<Duration> QuarantineLeft;
   Timer SelectionTimer;
--- /dev/null
+++ b/Services/Gateway/RequestRelay.cpp
@@ -0,0 +1,198 @@
+#include "RequestRelay.h"
+
+#include <platform/HttpCodec.h>
+
+#include <algorithm>
+
+namespace comfreyrill {
+
+namespace {
+
+// Hosts close idle connections of callers after a time that the configuration
+// may shorten to a few seconds.
+constexpr Duration IdleTime = std::chrono::seconds(2);
+constexpr Duration ConnectTimeout = std::chrono::milliseconds(250);
+// A host that could not take a request is not asked again for this time. Cuts
+// last for seconds.
+constexpr Duration UnfitTime = std::chrono::seconds(1);
+constexpr int HostsMaximum = 8;
+// After this many hosts of the own failure domain, others are asked first: most
+// of a domain may be cut off at the same time.
+constexpr int LocalHostsMaximum = 2;
+// Interval and number of the probes by which a host finds out that it reaches
+// targets again. No request waits for them.
+constexpr Duration CheckInterval = std::chrono::milliseconds(250);
+constexpr std::size_t CheckedTargets = 3;
+constexpr Duration CheckTimeout = std::chrono::milliseconds(250);
+constexpr std::uint64_t AnswerBytesMaximum = std::uint64_t{8} * 1024 * 1024;
+
+HttpLimits relayLimits() {
+  HttpLimits Limits;
+  Limits.HeaderBytes = 64 * 1024;
+  Limits.BodyBytes = AnswerBytesMaximum;
+  return Limits;
+}
+
+} // namespace
+
+RequestRelay::RequestRelay(const GatewayDependencies &Dependencies,
+                           const MemberTable &Members,
+                           const DomainTable &Domains, TargetProber &Prober)
+    : Dependencies(Dependencies), Members(Members), Domains(Domains),
+      Prober(Prober), Connections(Dependencies.Context, Dependencies.TimeSource,
+                                  IdleTime, &Dependencies.Messages),
+      CheckTimer(Dependencies.Context) {}
+
+void RequestRelay::start() {
+  Dependencies.CurrentState.reachability().onCutOff([Weak = weak_from_this()] {
+    if (const auto Self = Weak.lock())
+      Self->CheckTimer.cancel();
+  });
+  asio::co_spawn(
+      Dependencies.Context,
+      [Self = shared_from_this()] { return Self->runChecks(); },
+      asio::detached);
+}
+
+Awaitable<RelayResult> RequestRelay::relay(RelayedRequest &Request) {
+  const auto Self = shared_from_this();
+  RelayResult Result;
+  for (int Number = 0; Number < HostsMaximum && !Request.HasCallerLeft;
+       ++Number) {
+    const TimePoint Now = Dependencies.TimeSource.now();
+    const std::vector<RelayHost> Known = hosts(Now);
+    Result.HasOtherHosts = !Known.empty();
+    const auto Remote = chooseRelayHost(Known, Number < LocalHostsMaximum, Now,
+                                        Dependencies.Generator);
+    if (!Remote || Now >= Request.Deadline)
+      break;
+    Attempt Made = co_await attempt(Request, *Remote);
+    if (Made.Answer && !platform::isRelayRefused(*Made.Answer)) {
+      Result.Answer = std::move(Made.Answer);
+      break;
+    }
+    UnfitUntil[*Remote] = Dependencies.TimeSource.now() + UnfitTime;
+    if (Made.Answer || Made.Progress == WriteProgress::NothingWritten)
+      continue;
+    Result.MayHaveRun = true;
+    if (Request.Semantics == ExecutionSemantics::AtMostOnce)
+      break;
+  }
+  co_return Result;
+}
+
+// A request that must not run twice is sent on a new connection, because the
+// other host may close a kept one at the same moment.
+Awaitable<RequestRelay::Attempt> RequestRelay::attempt(RelayedRequest &Request,
+                                                       Endpoint Remote) {
+  const TimePoint Begin = Dependencies.TimeSource.now();
+  const TimePoint ConnectUntil =
+      std::min(Request.Deadline, Begin + ConnectTimeout);
+  Attempt Made;
+  if (Request.Semantics == ExecutionSemantics::AtMostOnce) {
+    auto Connected = co_await Connections.connect(Remote, ConnectUntil);
+    if (Connected)
+      Request.ActiveConnection = std::move(Connected.value());
+  } else {
+    auto Acquired = co_await Connections.acquire(Remote, ConnectUntil);
+    if (Acquired)
+      Request.ActiveConnection = std::move(Acquired.value());
+  }
+  if (!Request.ActiveConnection || Request.HasCallerLeft) {
+    log(Request, Remote, "not_connected", Begin);
+    Request.ActiveConnection.reset();
+    co_return Made;
+  }
+  HttpRequest Sent = platform::encodeRelay(
+      Request.Message, std::move(Request.Message.body()),
+      Request.Deadline - Dependencies.TimeSource.now(), Request.Metadata);
+  auto Answer = co_await Request.ActiveConnection->exchange(
+      Sent, relayLimits(), Request.Deadline, [&](const HttpResponse &Response) {
+        return platform::matchAnswer(Response, Request.Id);
+      });
+  Request.Message.body() = std::move(Sent.body());
+  if (Answer) {
+    Connections.release(Remote, std::move(Request.ActiveConnection));
+    Made.Answer = std::move(Answer.value());
+    log(Request, Remote,
+        platform::isRelayRefused(*Made.Answer) ? "refused" : "answered", Begin);
+  } else {
+    Made.Progress = Answer.error().Progress;
+    log(Request, Remote, "lost", Begin);
+  }
+  Request.ActiveConnection.reset();
+  co_return Made;
+}
+
+std::vector<RelayHost> RequestRelay::hosts(TimePoint Now) const {
+  std::vector<RelayHost> Found;
+  const auto Add = [&](const Endpoint &Address, bool IsLocal) {
+    const auto Unfit = UnfitUntil.find(Address);
+    Found.push_back(
+        {Address, IsLocal,
+         Unfit == UnfitUntil.end() ? TimePoint::min() : Unfit->second});
+  };
+  for (const Peer *Other : alivePeers(Members, Now))
+    if (Other->Description.State == HostState::Ready &&
+        Other->Description.isComplete())
+      Add(Other->Description.CallerAddress, true);
+  for (const RemoteHost &Other : remoteHosts(Domains, Now))
+    Add(Other.CallerAddress, false);
+  return Found;
+}
+
+Awaitable<void> RequestRelay::runChecks() {
+  const auto &Reachability = Dependencies.CurrentState.reachability();
+  while (true) {
+    CheckTimer.expires_at(Reachability.isCutOff()
+                              ? Dependencies.TimeSource.now() + CheckInterval
+                              : TimePoint::max());
+    co_await CheckTimer.async_wait(UseTuple);
+    if (Reachability.isCutOff())
+      co_await checkTargets();
+  }
+}
+
+Awaitable<void> RequestRelay::checkTargets() {
+  const auto Active = Dependencies.CurrentState.configuration();
+  if (!Active || Active->Services.empty())
+    co_return;
+  const ServiceDescription &Service =
+      Active->Services[std::uniform_int_distribution<std::size_t>(
+          0, Active->Services.size() - 1)(Dependencies.Generator)];
+  auto Candidates = Dependencies.CurrentState
+                        .candidates(Service.Name, Dependencies.HostDomain)
+                        .Targets;
+  std::shuffle(Candidates.begin(), Candidates.end(), Dependencies.Generator);
+  if (Candidates.size() > CheckedTargets)
+    Candidates.resize(CheckedTargets);
+  std::vector<ConnectedTarget> Found;
+  if (!Service.HealthPath.empty())
+    Found = co_await Prober.run(std::move(Candidates), Service.Name,
+                                Service.HealthPath, 0,
+                                Dependencies.TimeSource.now() + CheckTimeout);
+  else if (!Candidates.empty())
+    if (auto Target =
+            co_await Prober.connect(Candidates.front(), Service.Name)) {
+      Found.push_back(std::move(*Target));
+      Dependencies.CurrentState.reachability().onAnswer();
+    }
+  for (ConnectedTarget &Target : Found)
+    Prober.release(std::move(Target));
+}
+
+void RequestRelay::log(const RelayedRequest &Request, const Endpoint &Remote,
+                       std::string_view Outcome, TimePoint Begin) const {
+  ++Dependencies.ProcessMetrics.counter("relays_total{outcome=\"" +
+                                        std::string(Outcome) + "\"}");
+  LogLine Line("relay");
+  Line.field("request", Request.Id.Value)
+      .field("host", formatEndpoint(Remote))
+      .field("outcome", Outcome)
+      .field("ms", static_cast<std::uint64_t>(
+                       (Dependencies.TimeSource.now() - Begin) /
+                       std::chrono::milliseconds(1)));
+  Dependencies.Events.write(LogLevel::Info, "relay", Line);
+}
+
+} // namespace comfreyrill
--- a/Services/Gateway/TargetProber.cpp
+++ b/Services/Gateway/TargetProber.cpp
@@ -81,7 +81,8 @@
   }
   const Endpoint Address =
       CurrentState.targets().Targets.at(Candidate.Id).Registration.Address;
-  const TimePoint Deadline = Dependencies.TimeSource.now() + ProbeTimeout;
+  const TimePoint Begin = Dependencies.TimeSource.now();
+  const TimePoint Deadline = Begin + ProbeTimeout;
 
   const bool IsNewConnection = !Dependencies.Pool.hasIdle(Address);
   auto Acquired =
@@ -92,7 +93,7 @@
     co_return;
   }
   if (!Acquired)
-    CurrentState.reachability().onConnectionFailure(Candidate.Id);
+    CurrentState.reachability().onConnectionFailure(Candidate.Id, Begin);
   else if (IsNewConnection)
     CurrentState.reachability().onConnection();
   ++Dependencies.ProcessMetrics.counter("probes_total");
@@ -118,7 +119,7 @@
     if (Answer)
       CurrentState.reachability().onAnswer();
     else
-      CurrentState.reachability().onSilence(Candidate.Id);
+      CurrentState.reachability().onSilence(Candidate.Id, SentAt);
     if (Answer) {
       const ProbeAnswer Read = platform::decodeProbeAnswer(Answer.value());
       const bool IsMisdirected =
@@ -151,9 +152,11 @@
   }
   if (!IsAnswered) {
     ++Dependencies.ProcessMetrics.counter("probes_failed_total");
-    CurrentState.recordFailure(Candidate.Id, IsConnectionFailure
-                                                 ? TargetFailure::Connection
-                                                 : TargetFailure::Probe);
+    // The failure is not the target's when the host reaches none.
+    if (!CurrentState.reachability().isCutOff())
+      CurrentState.recordFailure(Candidate.Id, IsConnectionFailure
+                                                   ? TargetFailure::Connection
+                                                   : TargetFailure::Probe);
   }
   finishProbe(*Current);
 }
@@ -171,10 +174,12 @@
   const Endpoint Address = Dependencies.CurrentState.targets()
                                .Targets.at(Candidate.Id)
                                .Registration.Address;
-  auto Connected = co_await Dependencies.Pool.connect(
-      Address, Dependencies.TimeSource.now() + ProbeTimeout);
+  const TimePoint Begin = Dependencies.TimeSource.now();
+  auto Connected =
+      co_await Dependencies.Pool.connect(Address, Begin + ProbeTimeout);
   if (!Connected) {
-    Dependencies.CurrentState.reachability().onConnectionFailure(Candidate.Id);
+    Dependencies.CurrentState.reachability().onConnectionFailure(Candidate.Id,
+                                                                 Begin);
     Dependencies.CurrentState.recordFailure(Candidate.Id,
                                             TargetFailure::Connection);
     co_return std::nullopt;
--- a/Utilities/Client/ExplainText.cpp
+++ b/Utilities/Client/ExplainText.cpp
@@ -30,6 +30,8 @@
                        "the requests that they bear"},
     ReasonText{"rate_limited", "all targets that it could use limit their "
                                "requests and have had as many as they take"},
+    ReasonText{"cut_off", "the host reaches no target and no other host has "
+                          "taken it"},
     ReasonText{"no_target", "no target of the service can be used"},
     ReasonText{"overloaded", "no free slot would answer it in time"},
     ReasonText{"draining", "the host shuts down before the request would end"},
