--- a/Services/Gateway/RequestExecution.cpp
+++ b/Services/Gateway/RequestExecution.cpp
@@ -254,7 +254,7 @@
 }
 
 Awaitable<std::optional<HttpResponse>> RequestExecution::relay() {
-  IsAlone = Dependencies.Relay == nullptr;
+  IsAlone = Dependencies.Relay == nullptr && !Metadata.Relayed;
   if (!mayRelay())
     co_return std::nullopt;
   RelayedRequest Relayed{
--- a/Tests/Gateway/TestRequestExecution.cpp
+++ b/Tests/Gateway/TestRequestExecution.cpp
@@ -1509,6 +1509,46 @@
   EXPECT_EQ(Cold.Runs + Cold.Probes, 0);
 }
 
+// Guards against a relayed request that is sent to more targets than it may.
+TEST_F(RequestExecutionTest, RelayedRequestKeepsToTheAttemptsThatAreLeft) {
+  configure(ExecutionSemantics::Idempotent);
+  FakeTarget &First = addTarget(answerShed);
+  FakeTarget &Second = addTarget(answerShed);
+  HttpRequest Request(http::verb::get, "/x/1", 11);
+  Request.set(http::field::host, "a.example");
+  Request.set("Request-Id", "r-1");
+  Request.set("Comfreyrill-Relay-Attempts", "1");
+  start(std::make_shared<RequestExecution>(Dependencies, Prober, *Quarantine,
+                                           std::move(Request), "192.0.2.1"));
+  EXPECT_EQ(finish().result(), http::status::service_unavailable);
+  EXPECT_EQ(First.Runs + Second.Runs, 1);
+}
+
+// Guards against a cut-off host that holds a relayed request, or lets the host
+// that has relayed it take the refusal for one of the whole fleet.
+TEST_F(RequestExecutionTest, CutOffHostRefusesRelayedRequestsAtOnce) {
+  configure(ExecutionSemantics::Idempotent);
+  FakeTarget &First = addTarget(answerWhole);
+  FakeTarget &Second = addTarget(answerWhole);
+  for (const char *Id : {"i-1", "i-2"})
+    CurrentState.reachability().onConnectionFailure(TargetId(Id),
+                                                    TimeSource.now());
+  HttpRequest Request(http::verb::get, "/x/1", 11);
+  Request.set(http::field::host, "a.example");
+  Request.set("Request-Id", "r-1");
+  Request.set("Comfreyrill-Relay-Attempts", "2");
+  const TimePoint Begin = TimeSource.now();
+  start(std::make_shared<RequestExecution>(Dependencies, Prober, *Quarantine,
+                                           std::move(Request), "192.0.2.1"));
+  const HttpResponse Refused = finish();
+  EXPECT_LT(TimeSource.now() - Begin, 100ms);
+  EXPECT_EQ(Refused.result(), http::status::service_unavailable);
+  EXPECT_EQ(Refused.body(), R"({"reason":"cut_off"})");
+  EXPECT_EQ(Refused["Comfreyrill-Relay-Refused"], "1");
+  EXPECT_FALSE(Refused[http::field::retry_after].empty());
+  EXPECT_EQ(First.Runs + Second.Runs + First.Probes + Second.Probes, 0);
+}
+
 // Guards against requests beyond the limit that an answer has named.
 TEST_F(RequestExecutionTest, LimitedServiceRefusesAtOnceWhatItDoesNotTake) {
   configure(ExecutionSemantics::Idempotent);
--- a/Tests/platform/TestHttpCodec.cpp
+++ b/Tests/platform/TestHttpCodec.cpp
@@ -47,6 +47,36 @@
   EXPECT_EQ(Sent[http::field::content_length], "4");
 }
 
+// Guards against a relayed request that loses its content, its key or what the
+// other host must know, and against targets that see the headers of the relay.
+TEST(HttpCodec, RelayKeepsTheRequestAndTellsWhatIsLeft) {
+  HttpRequest Original = request();
+  Original.set("X-Api-Key", "k-1");
+  EXPECT_FALSE(decodeRequestMetadata(Original).Relayed);
+  HttpRequest Relayed =
+      encodeRelay(Original, Original.body(), 900ms, {2, "192.0.2.7"});
+  EXPECT_EQ(Relayed.body(), "body");
+  EXPECT_EQ(Relayed["X-Api-Key"], "k-1");
+  EXPECT_EQ(Relayed.count("X-Dropped"), 0U);
+  const RequestMetadata Metadata = decodeRequestMetadata(Relayed);
+  EXPECT_EQ(Metadata.Id.Value, "9c41");
+  EXPECT_EQ(Metadata.TimeLeft, 900ms);
+  ASSERT_TRUE(Metadata.Relayed);
+  EXPECT_EQ(Metadata.Relayed->AttemptsMaximum, 2U);
+  EXPECT_EQ(Metadata.Relayed->CallerAddress, "192.0.2.7");
+  const HttpRequest Sent =
+      encodeAttempt(Relayed, Relayed.body(), TargetId("i-7"), 900ms);
+  for (const auto &Field : Sent)
+    EXPECT_EQ(std::string(Field.name_string()).find("Relay"),
+              std::string::npos);
+  Relayed.set("Comfreyrill-Relay-Attempts", "many");
+  EXPECT_FALSE(decodeRequestMetadata(Relayed).Relayed);
+  HttpResponse Refusal(http::status::service_unavailable, 11);
+  EXPECT_FALSE(isRelayRefused(Refusal));
+  markRelayRefused(Refusal);
+  EXPECT_TRUE(isRelayRefused(Refusal));
+}
+
 TEST(HttpCodec, DecodesTheAnswerOfATarget) {
   HttpResponse Response(http::status::ok, 11);
   Response.set("Response-Signature", "3e1b");
