LibHttp: Reject responses with a status that HTTP does not define

Here a status below 100 was taken for an interim response: the host waited for another response until the deadline of the caller, 5 s in the test. A status of 600 and above was passed on as an answer of the target. Both now fail the exchange at once, as other bytes that are no answer do; the outcome of the request is unknown.

StatusOutsideTheProtocolIsAFailure failed for 000, 001, 099 (held until the deadline) and 600, 999 (taken) and passes.

--- a/Libraries/LibHttp/HttpConnection.cpp
+++ b/Libraries/LibHttp/HttpConnection.cpp
@@ -36,6 +36,9 @@
   return false;
 }
 
+// RFC 9110, section 15.
+bool isDefinedStatus(unsigned Status) { return Status >= 100 && Status < 600; }
+
 // A response that broke off within a line of its header takes the status line
 // of the next response for the rest of that line. The two then look like one
 // response, with fields of both.
@@ -147,6 +150,16 @@
     }
     co_return Failure;
   }
+  if (!isDefinedStatus(Parser.get().result_int())) {
+    close();
+    co_return ExchangeFailure{
+        Error{ErrorKind::InvalidInput,
+              "the response has the status " +
+                  std::to_string(Parser.get().result_int()) +
+                  ", which HTTP does not define; check the peer"},
+        WriteProgress::MayHaveBeenRead,
+        {}};
+  }
   if (isMergedWithNext(Parser.get())) {
     close();
     co_return ExchangeFailure{
--- a/Tests/LibHttp/TestHttpConnection.cpp
+++ b/Tests/LibHttp/TestHttpConnection.cpp
@@ -102,6 +102,23 @@
         << Response;
 }
 
+// Guards against answers with a status that HTTP does not define.
+TEST_F(HttpConnectionTest, StatusOutsideTheProtocolIsAFailure) {
+  const std::string Next = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  for (const char *Status : {"000", "001", "099", "600", "999"}) {
+    const TimePoint Begin = TimeSource.now();
+    const ExchangeOutcome Result =
+        run(exchange(keptServer("HTTP/1.1 " + std::string(Status) +
+                                    " Odd\r\nContent-Length: 2\r\n\r\nok",
+                                Next, false),
+                     testDeadline()));
+    EXPECT_FALSE(Result.Response.has_value()) << Status;
+    EXPECT_EQ(Result.Failure.Cause.Kind, ErrorKind::InvalidInput) << Status;
+    EXPECT_LT(TimeSource.now() - Begin, std::chrono::seconds(1)) << Status;
+    EXPECT_FALSE(Result.IsReusable);
+  }
+}
+
 // Guards against the loss of what a target says in the header of a truncated
 // response.
 TEST_F(HttpConnectionTest, FailureHoldsTheHeaderOfATruncatedResponse) {
