Gateway: Count a relayed request for one retry budget

A request that was relayed after a search counted for the retry budgets of two hosts, and after an attempt of its own host the first attempt of the other one was an extra one that no budget knew of. Only a request without an attempt is relayed now, and it is taken back from the budget of the host that relays it. Each relay uses a new connection, so that a kept one that is closed at the same moment leaves no unknown outcome; after a lost answer no further host is asked.

--- a/Libraries/LibGateway/RetryBudget.cpp
+++ b/Libraries/LibGateway/RetryBudget.cpp
@@ -26,6 +26,14 @@
   ++bucketAt(Budget, bucketNumber(Policy, Now)).Requests;
 }
 
+void withdrawRequest(RetryBudget &Budget, const RetryBudgetPolicy &Policy,
+                     TimePoint CountedAt) {
+  const std::int64_t Number = bucketNumber(Policy, CountedAt);
+  for (RetryBudget::Bucket &Entry : Budget.Buckets)
+    if (Entry.Number == Number && Entry.Requests > 0)
+      --Entry.Requests;
+}
+
 bool spendExtraAttempt(RetryBudget &Budget, const RetryBudgetPolicy &Policy,
                        std::size_t Hosts, TimePoint Now) {
   const std::int64_t Current = bucketNumber(Policy, Now);
--- a/Libraries/LibGateway/RetryBudget.h
+++ b/Libraries/LibGateway/RetryBudget.h
@@ -38,6 +38,10 @@
 void recordRequest(RetryBudget &Budget, const RetryBudgetPolicy &Policy,
                    TimePoint Now);
 
+/// Takes back a request, counted at CountedAt, that another host counts.
+void withdrawRequest(RetryBudget &Budget, const RetryBudgetPolicy &Policy,
+                     TimePoint CountedAt);
+
 /// Spends one extra attempt; returns false when this host's share of the budget
 /// is exhausted. The ratio applies to this host's own requests and the slack is
 /// divided by the number of hosts, so that the sum over all hosts stays within
--- a/Services/Gateway/Gateway.cpp
+++ b/Services/Gateway/Gateway.cpp
@@ -414,7 +414,6 @@
       co_return;
     Connections.closeExpired();
     StoreConnections.closeExpired();
-    Dependencies->Relay->closeExpired();
     if (Dependencies->CurrentState.removeExpired() && Store.isSynchronized())
       Replicator.publish(UpdateSource::Store);
   }
--- a/Services/Gateway/RequestExecution.cpp
+++ b/Services/Gateway/RequestExecution.cpp
@@ -237,9 +237,11 @@
   const bool IsTargetMissing = Refusal == RefusalCause::NoTarget ||
                                Refusal == RefusalCause::Overloaded ||
                                Refusal == RefusalCause::CutOff;
-  if (IsTargetMissing && !Invalidity && AttemptCount < AttemptsMaximum &&
-      mayRelay()) {
+  // The retry budget of the other host does not know of attempts of this one.
+  if (IsTargetMissing && !Invalidity && AttemptCount == 0 && mayRelay()) {
     returnToken();
+    withdrawRequest(Dependencies.CurrentState.serviceStats(Service).RetryCounts,
+                    Dependencies.RetryPolicy, ReceivedAt);
     if (auto Relayed = co_await relay())
       co_return std::move(*Relayed);
   }
@@ -257,14 +259,12 @@
   IsAlone = Dependencies.Relay == nullptr && !Metadata.Relayed;
   if (!mayRelay())
     co_return std::nullopt;
-  RelayedRequest Relayed{
-      Request,
-      Metadata.Id,
-      SelectedRoute->Semantics,
-      {SelectedRoute->AttemptsMaximum - AttemptCount, CallerAddress},
-      Deadline,
-      ActiveConnection,
-      HasCallerLeft};
+  RelayedRequest Relayed{Request,
+                         Metadata.Id,
+                         {SelectedRoute->AttemptsMaximum, CallerAddress},
+                         Deadline,
+                         ActiveConnection,
+                         HasCallerLeft};
   RelayResult Result = co_await Dependencies.Relay->relay(Relayed);
   IsAlone = !Result.HasOtherHosts;
   if (Result.Answer) {
--- a/Services/Gateway/RequestRelay.cpp
+++ b/Services/Gateway/RequestRelay.cpp
@@ -8,9 +8,6 @@
 
 namespace {
 
-// Hosts close idle connections of callers after a time that the configuration
-// may shorten to a few seconds.
-constexpr Duration IdleTime = std::chrono::seconds(2);
 constexpr Duration ConnectTimeout = std::chrono::milliseconds(250);
 // A host that could not take a request is not asked again for this time. Cuts
 // last for seconds.
@@ -39,9 +36,7 @@
                            const MemberTable &Members,
                            const DomainTable &Domains, TargetProber &Prober)
     : Dependencies(Dependencies), Members(Members), Domains(Domains),
-      Prober(Prober), Connections(Dependencies.Context, Dependencies.TimeSource,
-                                  IdleTime, &Dependencies.Messages),
-      CheckTimer(Dependencies.Context) {}
+      Prober(Prober), CheckTimer(Dependencies.Context) {}
 
 void RequestRelay::start() {
   Dependencies.CurrentState.reachability().onCutOff([Weak = weak_from_this()] {
@@ -72,33 +67,25 @@
       break;
     }
     UnfitUntil[*Remote] = Dependencies.TimeSource.now() + UnfitTime;
-    if (Made.Answer || Made.Progress == WriteProgress::NothingWritten)
-      continue;
-    Result.MayHaveRun = true;
-    if (Request.Semantics == ExecutionSemantics::AtMostOnce)
+    if (!Made.Answer && Made.Progress != WriteProgress::NothingWritten) {
+      Result.MayHaveRun = true;
       break;
+    }
   }
   co_return Result;
 }
 
-// A request that must not run twice is sent on a new connection, because the
-// other host may close a kept one at the same moment.
+// Each request goes out on a new connection. The other host could close a kept
+// one at the same moment, and nobody would know whether the request has run.
 Awaitable<RequestRelay::Attempt> RequestRelay::attempt(RelayedRequest &Request,
                                                        Endpoint Remote) {
   const TimePoint Begin = Dependencies.TimeSource.now();
-  const TimePoint ConnectUntil =
-      std::min(Request.Deadline, Begin + ConnectTimeout);
+  Request.ActiveConnection = std::make_shared<HttpConnection>(
+      Dependencies.Context, &Dependencies.Messages);
+  const auto Connected = co_await Request.ActiveConnection->connect(
+      Remote, std::min(Request.Deadline, Begin + ConnectTimeout));
   Attempt Made;
-  if (Request.Semantics == ExecutionSemantics::AtMostOnce) {
-    auto Connected = co_await Connections.connect(Remote, ConnectUntil);
-    if (Connected)
-      Request.ActiveConnection = std::move(Connected.value());
-  } else {
-    auto Acquired = co_await Connections.acquire(Remote, ConnectUntil);
-    if (Acquired)
-      Request.ActiveConnection = std::move(Acquired.value());
-  }
-  if (!Request.ActiveConnection || Request.HasCallerLeft) {
+  if (!Connected || Request.HasCallerLeft) {
     log(Request, Remote, "not_connected", Begin);
     Request.ActiveConnection.reset();
     co_return Made;
@@ -111,8 +98,8 @@
         return platform::matchAnswer(Response, Request.Id);
       });
   Request.Message.body() = std::move(Sent.body());
+  Request.ActiveConnection.reset();
   if (Answer) {
-    Connections.release(Remote, std::move(Request.ActiveConnection));
     Made.Answer = std::move(Answer.value());
     log(Request, Remote,
         platform::isRelayRefused(*Made.Answer) ? "refused" : "answered", Begin);
@@ -120,7 +107,6 @@
     Made.Progress = Answer.error().Progress;
     log(Request, Remote, "lost", Begin);
   }
-  Request.ActiveConnection.reset();
   co_return Made;
 }
 
--- a/Services/Gateway/RequestRelay.h
+++ b/Services/Gateway/RequestRelay.h
@@ -2,7 +2,6 @@
 
 #include "TargetProber.h"
 
-#include <LibGateway/Configuration.h>
 #include <LibGateway/RelayChoice.h>
 #include <LibMembership/DomainTable.h>
 #include <LibMembership/MemberTable.h>
@@ -17,7 +16,6 @@
   /// Lent to the relay, which may move the body out and back.
   HttpRequest &Message;
   RequestId Id;
-  ExecutionSemantics Semantics = ExecutionSemantics::AtMostOnce;
   /// What the other host has to know beside the message.
   RelayMetadata Metadata;
   TimePoint Deadline;
@@ -50,9 +48,6 @@
   /// Asks one host after the other. The request stays valid until then.
   Awaitable<RelayResult> relay(RelayedRequest &Request);
 
-  /// Closes connections to other hosts that are idle for long.
-  void closeExpired() { Connections.closeExpired(); }
-
 private:
   struct Attempt {
     std::optional<HttpResponse> Answer;
@@ -70,7 +65,6 @@
   const MemberTable &Members;
   const DomainTable &Domains;
   TargetProber &Prober;
-  ConnectionPool Connections;
   std::unordered_map<Endpoint, TimePoint> UnfitUntil;
   Timer CheckTimer;
 };
--- a/Tests/LibGateway/TestBudgets.cpp
+++ b/Tests/LibGateway/TestBudgets.cpp
@@ -41,6 +41,19 @@
   }
 }
 
+// Guards against a relayed request that adds to the budgets of two hosts.
+TEST(RetryBudget, WithdrawnRequestsAddNothing) {
+  const RetryBudgetPolicy Policy{1, 0, 10s};
+  const TimePoint Now{1h};
+  RetryBudget Budget;
+  recordRequest(Budget, Policy, Now);
+  recordRequest(Budget, Policy, Now);
+  withdrawRequest(Budget, Policy, Now);
+  EXPECT_TRUE(spendExtraAttempt(Budget, Policy, 1, Now));
+  EXPECT_FALSE(spendExtraAttempt(Budget, Policy, 1, Now));
+  withdrawRequest(Budget, Policy, Now - 5s);
+}
+
 TEST(RetryBudget, SpentAttemptsAreAvailableAgainAfterTheWindow) {
   const RetryBudgetPolicy Policy{0, 2, 10s};
   RetryBudget Budget;
