Tests/Soak: Name request limits and check them

Targets name a limit of 1, 2 or 4 requests per second for 4 to 9 s, in all answers. Such a target may get 1.5 times the limit and five requests in any 4 s, from 3 s after it began, of hosts that were not restarted or frozen in the 3 s before; all of them count, told or not. A limited target need not be used by each host of its domain until 6 s after the limit.

--- a/Tests/Soak/SoakFaults.cpp
+++ b/Tests/Soak/SoakFaults.cpp
@@ -131,7 +131,7 @@
 
 void injectRandomFault(SoakRun &Current) {
   constexpr std::size_t HostFaults = 5;
-  const std::size_t Kind = randomIndex(Current.Generator, 16);
+  const std::size_t Kind = randomIndex(Current.Generator, 17);
   if (Kind < HostFaults)
     return injectHostFault(Current, Kind);
   switch (Kind) {
@@ -155,6 +155,8 @@
     return start(Current, pauseTarget(Current));
   case 13:
     return start(Current, restartTarget(Current));
+  case 14:
+    return start(Current, limitTarget(Current));
   default:
     return writeNextConfiguration(Current);
   }
--- a/Tests/Soak/SoakFaults.h
+++ b/Tests/Soak/SoakFaults.h
@@ -34,6 +34,7 @@
 Awaitable<void> injectTargetFault(SoakRun &Current);
 
 /// Lets a target ask hosts for no requests, several times in series.
+Awaitable<void> limitTarget(SoakRun &Current);
 Awaitable<void> pauseTarget(SoakRun &Current);
 
 /// Crashes a target and replaces it with a new one.
--- a/Tests/Soak/SoakMain.cpp
+++ b/Tests/Soak/SoakMain.cpp
@@ -48,13 +48,7 @@
       Current.Records, std::move(Process), std::move(Domain));
   TRY(Added->start(std::move(Link)));
   Current.Store.put("servers", Added->id(), Added->registration());
-  TargetReadiness Ready{
-      Added->process(), {}, Current.TimeSource.now(), TimePoint::max()};
-  const std::size_t HostCount = Current.Settings.Fleet.Hosts;
-  for (std::size_t Host = 0; Host < HostCount; ++Host)
-    if (hostDomain(Current.Settings.Fleet, Host) == Added->domain())
-      Ready.NearHosts.push_back(Host);
-  Current.Records.ReadyTargets.push_back(std::move(Ready));
+  beginReadiness(Current, *Added);
   Current.LiveTargets.push_back(Added.get());
   Current.Targets.push_back(std::move(Added));
   return outcome::success();
@@ -120,7 +114,8 @@
                              [](const ArrivalRecord &Arrival) {
                                return Arrival.RetryAfter > Duration::zero();
                              })
-            << " pauses, " << countAttributedProbes(Current.Records) << " of "
+            << " pauses, " << Current.Records.RequestLimits.size()
+            << " limits, " << countAttributedProbes(Current.Records) << " of "
             << Current.Records.Probes.size() << " probes with a known host, "
             << std::count_if(Current.Records.Probes.begin(),
                              Current.Records.Probes.end(),
@@ -160,6 +155,16 @@
     : Settings(std::move(Configured)), Generator(Settings.Seed),
       Store(Loop.get_executor(), TimeSource), Fleet(Settings.Fleet) {}
 
+void beginReadiness(SoakRun &Current, const SoakTarget &Target) {
+  TargetReadiness Ready{
+      Target.process(), {}, Current.TimeSource.now(), TimePoint::max()};
+  const std::size_t HostCount = Current.Settings.Fleet.Hosts;
+  for (std::size_t Host = 0; Host < HostCount; ++Host)
+    if (hostDomain(Current.Settings.Fleet, Host) == Target.domain())
+      Ready.NearHosts.push_back(Host);
+  Current.Records.ReadyTargets.push_back(std::move(Ready));
+}
+
 Awaitable<void> sleepFor(SoakRun &Current, Duration Length) {
   Timer Pause(Current.Loop.get_executor());
   Pause.expires_after(Length);
--- a/Tests/Soak/SoakRecords.cpp
+++ b/Tests/Soak/SoakRecords.cpp
@@ -274,6 +274,45 @@
     }
 }
 
+/// Returns the times of the requests that count against a limit. A restart or a
+/// freeze of a host excuses it; faults of other links do not.
+std::vector<TimePoint> limitedArrivals(const SoakRecords &Records,
+                                       const RequestLimit &Limit) {
+  std::vector<TimePoint> Times;
+  for (const ArrivalRecord &Arrival : Records.Arrivals)
+    if (Arrival.Target == Limit.Target && !Arrival.IsMisdirected &&
+        Arrival.At >= Limit.From + Records.StabilityWindow &&
+        Arrival.At <= Limit.Until &&
+        !wasRestarted(Records, Arrival.Host,
+                      Arrival.At - Records.StabilityWindow, Arrival.At) &&
+        !wasFrozen(Records, Arrival.Host, Arrival.At - Records.StabilityWindow,
+                   Arrival.At))
+      Times.push_back(Arrival.At);
+  std::sort(Times.begin(), Times.end());
+  return Times;
+}
+
+void checkRequestLimits(const SoakRecords &Records, Lines &Found) {
+  for (const RequestLimit &Limit : Records.RequestLimits) {
+    const double Allowed =
+        Records.LimitFactor * Limit.PerSecond *
+            std::chrono::duration<double>(Records.LimitWindow).count() +
+        Records.LimitSlack;
+    const std::vector<TimePoint> Times = limitedArrivals(Records, Limit);
+    std::size_t Largest = 0;
+    for (auto Begin = Times.begin(); Begin != Times.end(); ++Begin) {
+      const auto End =
+          std::lower_bound(Begin, Times.end(), *Begin + Records.LimitWindow);
+      Largest = std::max(Largest, static_cast<std::size_t>(End - Begin));
+    }
+    if (static_cast<double>(Largest) > Allowed)
+      Found.push_back("LIMIT, target " + describe(Limit.Target) + " received " +
+                      std::to_string(Largest) +
+                      " requests in 4 s after it had named a limit of " +
+                      std::to_string(Limit.PerSecond) + " per second");
+  }
+}
+
 void checkConfigurations(const SoakRecords &Records, Lines &Found) {
   std::map<std::uint64_t, TimePoint> AcknowledgedAt;
   for (const AcknowledgedChange &Version : Records.Configurations)
@@ -356,6 +395,7 @@
   checkLeavingTargets(Records, Found);
   checkPauses(Records, Found);
   checkUse(Records, Found);
+  checkRequestLimits(Records, Found);
   checkConfigurations(Records, Found);
   return Found;
 }
--- a/Tests/Soak/SoakRecords.h
+++ b/Tests/Soak/SoakRecords.h
@@ -98,6 +98,14 @@
   TimePoint Until;
 };
 
+/// A period in which a target named a limit on the requests of all hosts.
+struct RequestLimit {
+  TargetProcess Target;
+  double PerSecond = 0;
+  TimePoint From;
+  TimePoint Until;
+};
+
 /// The start of a host's next process.
 struct HostRestart {
   std::size_t Host = 0;
@@ -131,6 +139,11 @@
   /// Maximum number of requests and probes that a target may receive from a
   /// host that it has asked for none.
   std::size_t RequestsInPauseMaximum = 2;
+  /// A limited target may receive LimitFactor times its limit and LimitSlack
+  /// requests in any LimitWindow.
+  Duration LimitWindow = std::chrono::seconds(4);
+  double LimitFactor = 1.5;
+  double LimitSlack = 5;
   /// A host that sends this many requests to others in UseTime also sends one
   /// to each ready process of its failure domain.
   Duration UseTime = std::chrono::seconds(4);
@@ -143,6 +156,7 @@
   std::vector<HostRestart> Restarts;
   std::vector<HostFreeze> Freezes;
   std::vector<TargetLinkFault> TargetLinkFaults;
+  std::vector<RequestLimit> RequestLimits;
   std::vector<TargetReadiness> ReadyTargets;
   std::vector<AcknowledgedChange> DrainedTargets;
   std::vector<AcknowledgedChange> Configurations;
--- a/Tests/Soak/SoakRun.h
+++ b/Tests/Soak/SoakRun.h
@@ -59,6 +59,9 @@
 Result<void> addNextProcess(SoakRun &Current, const SoakTarget &Ended,
                             bool KeepsAddress);
 
+/// From now on, hosts of the target's failure domain must use it.
+void beginReadiness(SoakRun &Current, const SoakTarget &Target);
+
 /// From now on, hosts may leave the target out.
 void endReadiness(SoakRun &Current, const SoakTarget &Target);
 
--- a/Tests/Soak/SoakTarget.cpp
+++ b/Tests/Soak/SoakTarget.cpp
@@ -128,6 +128,8 @@
   Answer.set(ProcessHeader, std::to_string(Process.Number));
   if (IsLeaving)
     Answer.set("Server-Leaving", "1");
+  if (RequestLimit > 0)
+    Answer.set("Server-Limit", std::to_string(RequestLimit));
 }
 
 HttpResponse SoakTarget::answerProbe(const HttpRequest &Request) {
--- a/Tests/Soak/SoakTarget.h
+++ b/Tests/Soak/SoakTarget.h
@@ -55,6 +55,8 @@
     RetryAfter = NewRetryAfter;
     RefusesProbes = ProbesToo;
   }
+  /// Names a limit on the requests per second in all answers; 0 ends it.
+  void limit(double RequestsPerSecond) { RequestLimit = RequestsPerSecond; }
   bool isPaused() const { return RetryAfter > RetryAfter.zero(); }
   const std::shared_ptr<LoopbackProxy> &link() const { return Link; }
   /// Simulates a crash by closing the server.
@@ -85,6 +87,7 @@
   bool IsDraining = false;
   std::chrono::seconds RetryAfter{0};
   bool RefusesProbes = false;
+  double RequestLimit = 0;
   std::map<std::string, std::size_t> ConnectionsByRequest;
   bool HasCrashed = false;
   std::uint32_t Running = 0;
--- a/Tests/Soak/SoakTargetFaults.cpp
+++ b/Tests/Soak/SoakTargetFaults.cpp
@@ -15,6 +15,9 @@
 // this time.
 constexpr Duration CopyTime = std::chrono::milliseconds(50);
 constexpr std::size_t PauseSeriesMaximum = 4;
+// Limits end well before the final measurement.
+constexpr Duration LimitRunOn = std::chrono::seconds(2);
+constexpr Duration LimitRecheckTime = std::chrono::seconds(6);
 constexpr int RetryAfterMaximumSeconds = 4;
 
 /// A host that held the pause of an earlier process against the next one would
@@ -118,6 +121,30 @@
   }
 }
 
+Awaitable<void> limitTarget(SoakRun &Current) {
+  constexpr std::array<double, 3> Limits{1, 2, 4};
+  SoakTarget &Target = chooseTarget(Current);
+  const double Limit = Limits[randomIndex(Current.Generator, Limits.size())];
+  const Duration Length = randomDuration(Current, 4000, 9000);
+  logFault(Current, "limit of " + std::to_string(Limit) + " at " + Target.id() +
+                        " for " + milliseconds(Length));
+  const TimePoint Begin = Current.TimeSource.now();
+  const TimePoint End =
+      std::min(Begin + Length, Current.FaultsUntil + LimitRunOn);
+  endReadiness(Current, Target);
+  Target.limit(Limit);
+  co_await sleepFor(Current, End - Begin);
+  Target.limit(0);
+  Current.Records.RequestLimits.push_back(
+      {Target.process(), Limit, Begin, Current.TimeSource.now()});
+  // Hosts without a share of the limit check every few seconds whether it
+  // still holds.
+  co_await sleepFor(Current, LimitRecheckTime);
+  const auto &Live = Current.LiveTargets;
+  if (std::find(Live.begin(), Live.end(), &Target) != Live.end())
+    beginReadiness(Current, Target);
+}
+
 Awaitable<void> crashTarget(SoakRun &Current) {
   if (Current.LiveTargets.size() <= MinimumTargets)
     co_return;
--- a/Tests/Soak/TestSoakRecords.cpp
+++ b/Tests/Soak/TestSoakRecords.cpp
@@ -51,6 +51,26 @@
   EXPECT_EQ(findViolations(Records).size(), 1U);
 }
 
+TEST(SoakRecords, RequestsBeyondALimitAreFound) {
+  SoakRecords Records;
+  Records.RequestLimits = {{{"t1"}, 1, Start, Start + 20s}};
+  const auto Arrive = [&](Duration After, int Count) {
+    for (int Number = 0; Number < Count; ++Number)
+      Records.Arrivals.push_back(
+          arrival(std::to_string(Records.Arrivals.size()), Start + After));
+  };
+  Arrive(1s, 50);
+  Arrive(4s, 6);
+  Arrive(7900ms, 5);
+  EXPECT_TRUE(findViolations(Records).empty());
+  Arrive(7s, 1);
+  EXPECT_EQ(findViolations(Records).size(), 1U);
+  Records.Disturbances = {{0, Start + 2s, Start + 7s}};
+  EXPECT_EQ(findViolations(Records).size(), 1U);
+  Records.Restarts = {{0, Start + 2s}};
+  EXPECT_TRUE(findViolations(Records).empty());
+}
+
 TEST(SoakRecords, WrongAnswerIsFound) {
   SoakRecords Records;
   Records.Calls = {call("a", 200)};
