Gateway: Tidy up the names of shares, reachability and relays

HostShare stands beside the table that uses it, the events of the reachability monitor are named as those of the state, and what a host does while it is cut off has a function of its own. No behaviour changes.

--- a/Libraries/LibPlaces/DomainHosts.h
+++ b/Libraries/LibPlaces/DomainHosts.h
@@ -30,13 +30,6 @@
   bool operator==(const DomainHosts &) const = default;
 };
 
-/// Number of requests that one host may send to a target within any window of
-/// that length; 0 requests when the target is not assigned to the host.
-struct HostShare {
-  std::uint32_t Requests = 0;
-  Duration Window = std::chrono::seconds(1);
-};
-
 /// Position of this host among the hosts of its domain, which all hosts order
 /// in the same way for one target.
 struct HostRank {
--- a/Libraries/LibPlaces/RateLimitShare.h
+++ b/Libraries/LibPlaces/RateLimitShare.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <LibPlaces/DomainHosts.h>
+#include <LibPlaces/TargetShares.h>
 
 namespace comfreyrill {
 
--- a/Libraries/LibPlaces/TargetShares.h
+++ b/Libraries/LibPlaces/TargetShares.h
@@ -8,6 +8,13 @@
 
 namespace comfreyrill {
 
+/// Number of requests that one host may send to a target within any window of
+/// that length; 0 requests when the target is not assigned to the host.
+struct HostShare {
+  std::uint32_t Requests = 0;
+  Duration Window = std::chrono::seconds(1);
+};
+
 /// What one host has sent to a target, and its share of what the target bears
 /// from all hosts together while it bears less than usual.
 struct ShareUse {
--- a/Services/Gateway/ReachabilityMonitor.cpp
+++ b/Services/Gateway/ReachabilityMonitor.cpp
@@ -9,24 +9,25 @@
                                          RateLimitedLog &Events)
     : TimeSource(TimeSource), Directory(Directory), Events(Events) {}
 
-void ReachabilityMonitor::onConnectionFailure(const TargetId &Target,
-                                              TimePoint BeganAt) {
-  recordConnectionFailure(State, Target, BeganAt);
+void ReachabilityMonitor::recordConnectionFailure(const TargetId &Target,
+                                                  TimePoint BeganAt) {
+  comfreyrill::recordConnectionFailure(State, Target, BeganAt);
   update();
 }
 
-void ReachabilityMonitor::onConnection() {
-  recordConnection(State, TimeSource.now());
+void ReachabilityMonitor::recordConnection() {
+  comfreyrill::recordConnection(State, TimeSource.now());
   update();
 }
 
-void ReachabilityMonitor::onSilence(const TargetId &Target, TimePoint SentAt) {
-  recordSilence(State, Target, SentAt);
+void ReachabilityMonitor::recordSilence(const TargetId &Target,
+                                        TimePoint SentAt) {
+  comfreyrill::recordSilence(State, Target, SentAt);
   update();
 }
 
-void ReachabilityMonitor::onAnswer() {
-  recordAnswer(State, TimeSource.now());
+void ReachabilityMonitor::recordAnswer() {
+  comfreyrill::recordAnswer(State, TimeSource.now());
   update();
 }
 
--- a/Services/Gateway/ReachabilityMonitor.h
+++ b/Services/Gateway/ReachabilityMonitor.h
@@ -17,11 +17,11 @@
                       RateLimitedLog &Events);
 
   /// The connection to a target failed or was not made in time.
-  void onConnectionFailure(const TargetId &Target, TimePoint BeganAt);
-  void onConnection();
+  void recordConnectionFailure(const TargetId &Target, TimePoint BeganAt);
+  void recordConnection();
   /// A target has not answered a probe on an open connection.
-  void onSilence(const TargetId &Target, TimePoint SentAt);
-  void onAnswer();
+  void recordSilence(const TargetId &Target, TimePoint SentAt);
+  void recordAnswer();
 
   bool isCutOff() const { return IsCutOff; }
   bool cannotConnect() const { return CannotConnect; }
--- a/Services/Gateway/RequestExecution.cpp
+++ b/Services/Gateway/RequestExecution.cpp
@@ -97,18 +97,10 @@
     co_return refuse(http::status::not_found, "no_route", std::nullopt);
   Deadline = ReceivedAt + std::min(Metadata.TimeLeft.value_or(DefaultTimeLeft),
                                    SelectedRoute->Timeout);
-  // The other host authorizes the caller and takes the token.
   if (Dependencies.CurrentState.reachability().isCutOff() &&
-      !isTooLateInDrain(SelectedRoute->LatencyObjective)) {
-    if (auto Relayed = co_await relay())
-      co_return std::move(*Relayed);
-    if (!IsAlone)
-      co_return refuse(http::status::service_unavailable,
-                       refusalCauseName(RefusalCause::CutOff),
-                       retryAfter(RefusalCause::CutOff,
-                                  SelectedRoute->LatencyObjective,
-                                  Dependencies.Generator));
-  }
+      !isTooLateInDrain(SelectedRoute->LatencyObjective))
+    if (auto Answer = co_await answerWhileCutOff())
+      co_return std::move(*Answer);
   if (auto Rejection = co_await authorizeCaller())
     co_return std::move(*Rejection);
   const ServiceName *Picked =
@@ -248,6 +240,18 @@
   co_return refuseNotRun();
 }
 
+// The other host authorizes the caller and takes the token of the account.
+Awaitable<std::optional<HttpResponse>> RequestExecution::answerWhileCutOff() {
+  auto Relayed = co_await relay();
+  if (Relayed || IsAlone)
+    co_return Relayed;
+  const Duration Delay =
+      retryAfter(RefusalCause::CutOff, SelectedRoute->LatencyObjective,
+                 Dependencies.Generator);
+  co_return refuse(http::status::service_unavailable,
+                   refusalCauseName(RefusalCause::CutOff), Delay);
+}
+
 bool RequestExecution::mayRelay() const {
   const auto &Reachability = Dependencies.CurrentState.reachability();
   return Dependencies.Relay != nullptr && !Metadata.Relayed && !IsAlone &&
@@ -659,7 +663,7 @@
   bool HasAskedForPause = false;
   bool IsConnectionLost = false;
   if (Answer) {
-    Dependencies.CurrentState.reachability().onAnswer();
+    Dependencies.CurrentState.reachability().recordAnswer();
     HeldAnswer.hold(Answer.value().body().size());
     if (Dependencies.Domains != nullptr)
       Dependencies.Domains->recordAnswer(Service, *SelectedRoute,
--- a/Services/Gateway/RequestExecution.h
+++ b/Services/Gateway/RequestExecution.h
@@ -101,6 +101,9 @@
   /// Takes the outcome of an attempt as evidence for or against the request.
   Awaitable<void> recordEvidence(AttemptOutcome Outcome, bool IsConnectionLost,
                                  TargetProcess Process, Endpoint Address);
+  /// Relays the request, or refuses it when no other host can take it. Returns
+  /// nothing when there is no other host.
+  Awaitable<std::optional<HttpResponse>> answerWhileCutOff();
   /// Returns true when this host reaches targets too badly to serve the request
   /// itself, and another host may be asked.
   bool mayRelay() const;
--- a/Services/Gateway/RequestRelay.cpp
+++ b/Services/Gateway/RequestRelay.cpp
@@ -161,7 +161,7 @@
     if (auto Target =
             co_await Prober.connect(Candidates.front(), Service.Name)) {
       Found.push_back(std::move(*Target));
-      Dependencies.CurrentState.reachability().onAnswer();
+      Dependencies.CurrentState.reachability().recordAnswer();
     }
   for (ConnectedTarget &Target : Found)
     Prober.release(std::move(Target));
--- a/Services/Gateway/TargetProber.cpp
+++ b/Services/Gateway/TargetProber.cpp
@@ -93,9 +93,9 @@
     co_return;
   }
   if (!Acquired)
-    CurrentState.reachability().onConnectionFailure(Candidate.Id, Begin);
+    CurrentState.reachability().recordConnectionFailure(Candidate.Id, Begin);
   else if (IsNewConnection)
-    CurrentState.reachability().onConnection();
+    CurrentState.reachability().recordConnection();
   ++Dependencies.ProcessMetrics.counter("probes_total");
   bool IsConnectionFailure = !Acquired;
   bool IsAnswered = false;
@@ -117,9 +117,9 @@
     if (!Answer && Answer.error().IncompleteResponse)
       RecordSignals(*Answer.error().IncompleteResponse);
     if (Answer)
-      CurrentState.reachability().onAnswer();
+      CurrentState.reachability().recordAnswer();
     else
-      CurrentState.reachability().onSilence(Candidate.Id, SentAt);
+      CurrentState.reachability().recordSilence(Candidate.Id, SentAt);
     if (Answer) {
       const ProbeAnswer Read = platform::decodeProbeAnswer(Answer.value());
       const bool IsMisdirected =
@@ -178,13 +178,13 @@
   auto Connected =
       co_await Dependencies.Pool.connect(Address, Begin + ProbeTimeout);
   if (!Connected) {
-    Dependencies.CurrentState.reachability().onConnectionFailure(Candidate.Id,
-                                                                 Begin);
+    Dependencies.CurrentState.reachability().recordConnectionFailure(
+        Candidate.Id, Begin);
     Dependencies.CurrentState.recordFailure(Candidate.Id,
                                             TargetFailure::Connection);
     co_return std::nullopt;
   }
-  Dependencies.CurrentState.reachability().onConnection();
+  Dependencies.CurrentState.reachability().recordConnection();
   const LoadReport Load = Candidate.LastLoad.value_or(LoadReport{});
   co_return ConnectedTarget{{std::move(Candidate), Load, true},
                             Address,
--- a/Tests/Gateway/TestRequestExecution.cpp
+++ b/Tests/Gateway/TestRequestExecution.cpp
@@ -1531,8 +1531,8 @@
   FakeTarget &First = addTarget(answerWhole);
   FakeTarget &Second = addTarget(answerWhole);
   for (const char *Id : {"i-1", "i-2"})
-    CurrentState.reachability().onConnectionFailure(TargetId(Id),
-                                                    TimeSource.now());
+    CurrentState.reachability().recordConnectionFailure(TargetId(Id),
+                                                        TimeSource.now());
   HttpRequest Request(http::verb::get, "/x/1", 11);
   Request.set(http::field::host, "a.example");
   Request.set("Request-Id", "r-1");
