Tests/Soak: Limit a target once at a time

The trace shows two limits that overlapped at one target; the end of the first one ended the naming, while the second was still checked. All hosts had logged the end of the limit. A target that is limited is left alone now, as a paused one is.

--- a/Tests/Soak/SoakTarget.h
+++ b/Tests/Soak/SoakTarget.h
@@ -57,6 +57,7 @@
   }
   /// Names a limit on the requests per second in all answers; 0 ends it.
   void limit(double RequestsPerSecond) { RequestLimit = RequestsPerSecond; }
+  bool isLimited() const { return RequestLimit > 0; }
   bool isPaused() const { return RetryAfter > RetryAfter.zero(); }
   const std::shared_ptr<LoopbackProxy> &link() const { return Link; }
   /// Simulates a crash by closing the server.
--- a/Tests/Soak/SoakTargetFaults.cpp
+++ b/Tests/Soak/SoakTargetFaults.cpp
@@ -124,6 +124,8 @@
 Awaitable<void> limitTarget(SoakRun &Current) {
   constexpr std::array<double, 3> Limits{1, 2, 4};
   SoakTarget &Target = chooseTarget(Current);
+  if (Target.isLimited())
+    co_return;
   const double Limit = Limits[randomIndex(Current.Generator, Limits.size())];
   const Duration Length = randomDuration(Current, 4000, 9000);
   logFault(Current, "limit of " + std::to_string(Limit) + " at " + Target.id() +
