Gateway: Derive what a relay needs instead of keeping it

A request remembered whether there are other hosts; it asks the relay now, and only while its host is cut off. The relay lists the other hosts once a request and not before each host that it asks, takes the limits of the answer from the request in place of a copy of them, and draws with the randomIndex that LibCore has. No behaviour changes; CutOffHostTest, the tests of requests and of the choice of a relay pass.

--- a/Libraries/LibGateway/RelayChoice.cpp
+++ b/Libraries/LibGateway/RelayChoice.cpp
@@ -1,7 +1,5 @@
 #include <LibGateway/RelayChoice.h>
 
-#include <algorithm>
-
 namespace comfreyrill {
 
 std::optional<Endpoint> chooseRelayHost(const std::vector<RelayHost> &Hosts,
@@ -13,9 +11,7 @@
       if (Host.IsInLocalDomain == IsLocal && Now >= Host.UnfitUntil)
         Fit.push_back(&Host);
     if (!Fit.empty())
-      return Fit[std::uniform_int_distribution<std::size_t>(0, Fit.size() - 1)(
-                     Generator)]
-          ->CallerAddress;
+      return Fit[randomIndex(Generator, Fit.size())]->CallerAddress;
   }
   return std::nullopt;
 }
--- a/Services/Gateway/RequestExecution.cpp
+++ b/Services/Gateway/RequestExecution.cpp
@@ -242,9 +242,12 @@
 
 // The other host authorizes the caller and takes the token of the account.
 Awaitable<std::optional<HttpResponse>> RequestExecution::answerWhileCutOff() {
-  auto Relayed = co_await relay();
-  if (Relayed || IsAlone)
-    co_return Relayed;
+  if (!Metadata.Relayed) {
+    if (!mayRelay())
+      co_return std::nullopt;
+    if (auto Relayed = co_await relay())
+      co_return std::move(*Relayed);
+  }
   const Duration Delay =
       retryAfter(RefusalCause::CutOff, SelectedRoute->LatencyObjective,
                  Dependencies.Generator);
@@ -254,23 +257,20 @@
 
 bool RequestExecution::mayRelay() const {
   const auto &Reachability = Dependencies.CurrentState.reachability();
-  return Dependencies.Relay != nullptr && !Metadata.Relayed && !IsAlone &&
-         !HasCallerLeft &&
-         (Reachability.isCutOff() || Reachability.cannotConnect());
+  return (Reachability.isCutOff() || Reachability.cannotConnect()) &&
+         !Metadata.Relayed && !HasCallerLeft && Dependencies.Relay != nullptr &&
+         Dependencies.Relay->hasOtherHosts();
 }
 
 Awaitable<std::optional<HttpResponse>> RequestExecution::relay() {
-  IsAlone = Dependencies.Relay == nullptr && !Metadata.Relayed;
-  if (!mayRelay())
-    co_return std::nullopt;
   RelayedRequest Relayed{Request,
                          Metadata.Id,
                          {SelectedRoute->AttemptsMaximum, CallerAddress},
+                         answerLimits(),
                          Deadline,
                          ActiveConnection,
                          HasCallerLeft};
   RelayResult Result = co_await Dependencies.Relay->relay(Relayed);
-  IsAlone = !Result.HasOtherHosts;
   if (Result.Answer) {
     HeldAnswer.hold(Result.Answer->body().size());
     HttpResponse Answer = platform::encodeAnswer(std::move(*Result.Answer));
@@ -479,8 +479,8 @@
         Found.push_back(std::move(Target));
       }
       Best = selectFound(Probed);
-      if (!Best && mayRelay() &&
-          Dependencies.CurrentState.reachability().isCutOff()) {
+      if (!Best && Dependencies.CurrentState.reachability().isCutOff() &&
+          mayRelay()) {
         Refusal = RefusalCause::CutOff;
         co_return std::nullopt;
       }
--- a/Services/Gateway/RequestExecution.h
+++ b/Services/Gateway/RequestExecution.h
@@ -155,8 +155,6 @@
   /// end of the pauses.
   std::optional<TimePoint> PauseEndsAt;
   bool HasWaitedForPause = false;
-  /// No other host is known that could take the request.
-  bool IsAlone = false;
   /// Set when the request was found to be in quarantine.
   std::optional<Duration> QuarantineLeft;
   Timer SelectionTimer;
--- a/Services/Gateway/RequestRelay.cpp
+++ b/Services/Gateway/RequestRelay.cpp
@@ -21,14 +21,6 @@
 constexpr Duration CheckInterval = std::chrono::milliseconds(250);
 constexpr std::size_t CheckedTargets = 3;
 constexpr Duration CheckTimeout = std::chrono::milliseconds(250);
-constexpr std::uint64_t AnswerBytesMaximum = std::uint64_t{8} * 1024 * 1024;
-
-HttpLimits relayLimits() {
-  HttpLimits Limits;
-  Limits.HeaderBytes = 64 * 1024;
-  Limits.BodyBytes = AnswerBytesMaximum;
-  return Limits;
-}
 
 } // namespace
 
@@ -52,11 +44,10 @@
 Awaitable<RelayResult> RequestRelay::relay(RelayedRequest &Request) {
   const auto Self = shared_from_this();
   RelayResult Result;
+  std::vector<RelayHost> Known = hosts();
   for (int Number = 0; Number < HostsMaximum && !Request.HasCallerLeft;
        ++Number) {
     const TimePoint Now = Dependencies.TimeSource.now();
-    const std::vector<RelayHost> Known = hosts(Now);
-    Result.HasOtherHosts = !Known.empty();
     const auto Remote = chooseRelayHost(Known, Number < LocalHostsMaximum, Now,
                                         Dependencies.Generator);
     if (!Remote || Now >= Request.Deadline)
@@ -66,7 +57,11 @@
       Result.Answer = std::move(Made.Answer);
       break;
     }
-    UnfitUntil[*Remote] = Dependencies.TimeSource.now() + UnfitTime;
+    const TimePoint Until = Dependencies.TimeSource.now() + UnfitTime;
+    UnfitUntil[*Remote] = Until;
+    for (RelayHost &Host : Known)
+      if (Host.CallerAddress == *Remote)
+        Host.UnfitUntil = Until;
     if (!Made.Answer && Made.Progress != WriteProgress::NothingWritten) {
       Result.MayHaveRun = true;
       break;
@@ -94,7 +89,8 @@
       Request.Message, std::move(Request.Message.body()),
       Request.Deadline - Dependencies.TimeSource.now(), Request.Metadata);
   auto Answer = co_await Request.ActiveConnection->exchange(
-      Sent, relayLimits(), Request.Deadline, [&](const HttpResponse &Response) {
+      Sent, Request.AnswerLimits, Request.Deadline,
+      [&](const HttpResponse &Response) {
         return platform::matchAnswer(Response, Request.Id);
       });
   Request.Message.body() = std::move(Sent.body());
@@ -110,7 +106,10 @@
   co_return Made;
 }
 
-std::vector<RelayHost> RequestRelay::hosts(TimePoint Now) const {
+bool RequestRelay::hasOtherHosts() const { return !hosts().empty(); }
+
+std::vector<RelayHost> RequestRelay::hosts() const {
+  const TimePoint Now = Dependencies.TimeSource.now();
   std::vector<RelayHost> Found;
   const auto Add = [&](const Endpoint &Address, bool IsLocal) {
     const auto Unfit = UnfitUntil.find(Address);
@@ -143,9 +142,8 @@
   const auto Active = Dependencies.CurrentState.configuration();
   if (!Active || Active->Services.empty())
     co_return;
-  const ServiceDescription &Service =
-      Active->Services[std::uniform_int_distribution<std::size_t>(
-          0, Active->Services.size() - 1)(Dependencies.Generator)];
+  const ServiceDescription &Service = Active->Services[randomIndex(
+      Dependencies.Generator, Active->Services.size())];
   auto Candidates = Dependencies.CurrentState
                         .candidates(Service.Name, Dependencies.HostDomain)
                         .Targets;
--- a/Services/Gateway/RequestRelay.h
+++ b/Services/Gateway/RequestRelay.h
@@ -18,6 +18,7 @@
   RequestId Id;
   /// What the other host has to know beside the message.
   RelayMetadata Metadata;
+  HttpLimits AnswerLimits;
   TimePoint Deadline;
   /// Connection of the relay in progress, with which its owner cancels it.
   std::shared_ptr<HttpConnection> &ActiveConnection;
@@ -30,8 +31,6 @@
   std::optional<HttpResponse> Answer;
   /// A host may have run the request although it has not answered.
   bool MayHaveRun = false;
-  /// There are other hosts, whether or not one of them could take the request.
-  bool HasOtherHosts = false;
 };
 
 /// Passes requests on to other hosts while this one reaches no targets. The
@@ -45,6 +44,10 @@
   /// Starts looking for targets that answer whenever this host is cut off.
   void start();
 
+  /// True when there are other hosts, whether or not one of them can take a
+  /// request.
+  bool hasOtherHosts() const;
+
   /// Asks one host after the other. The request stays valid until then.
   Awaitable<RelayResult> relay(RelayedRequest &Request);
 
@@ -55,7 +58,7 @@
   };
 
   Awaitable<Attempt> attempt(RelayedRequest &Request, Endpoint Remote);
-  std::vector<RelayHost> hosts(TimePoint Now) const;
+  std::vector<RelayHost> hosts() const;
   Awaitable<void> runChecks();
   Awaitable<void> checkTargets();
   void log(const RelayedRequest &Request, const Endpoint &Remote,
