LibRouting: Keep one type for the source of a target's signal

The limits had brought an enumeration of their own, a function that mapped the existing one to it, and a second function for its names. The existing one is now in LibRouting and serves both. That no target has a limit is checked where limits are looked up, not by one of the two who ask.

--- a/Libraries/LibPlaces/RateLimitShare.cpp
+++ b/Libraries/LibPlaces/RateLimitShare.cpp
@@ -1,7 +1,6 @@
 #include <LibPlaces/RateLimitShare.h>
 
 #include <algorithm>
-#include <cmath>
 
 namespace comfreyrill {
 
--- a/Libraries/LibRouting/TargetRateLimit.cpp
+++ b/Libraries/LibRouting/TargetRateLimit.cpp
@@ -19,21 +19,21 @@
 } // namespace
 
 void recordRateLimit(TargetRateLimit &Limit, double RequestsPerSecond,
-                     RateLimitSource Source, std::size_t HostCount,
-                     TimePoint Now, Random &Generator) {
+                     SignalSource Source, std::size_t HostCount, TimePoint Now,
+                     Random &Generator) {
   Limit.RequestsPerSecond = RequestsPerSecond;
   Limit.NamedAt = Now;
   Limit.IsNamedByProbes =
-      Limit.IsNamedByProbes || Source == RateLimitSource::Probe;
+      Limit.IsNamedByProbes || Source == SignalSource::Probe;
   postponeRecheck(Limit, HostCount, Now, Generator);
 }
 
 // Answers arrive on several connections and may overtake each other: an answer
 // that was under way when the target named its limit says nothing.
-bool endsRateLimit(const TargetRateLimit &Limit, RateLimitSource Source,
+bool endsRateLimit(const TargetRateLimit &Limit, SignalSource Source,
                    TimePoint SentAt) {
   return SentAt >= Limit.NamedAt &&
-         (Source == RateLimitSource::Answer || Limit.IsNamedByProbes);
+         (Source != SignalSource::Probe || Limit.IsNamedByProbes);
 }
 
 // The interval is randomized, because many hosts learn of a limit at the same
--- a/Libraries/LibRouting/TargetRateLimit.h
+++ b/Libraries/LibRouting/TargetRateLimit.h
@@ -2,14 +2,12 @@
 
 #include <LibCore/Clock.h>
 #include <LibCore/Random.h>
+#include <LibRouting/SignalSource.h>
 
 #include <cstddef>
 
 namespace comfreyrill {
 
-/// Kind of answer that names a limit, or no limit any more.
-enum class RateLimitSource { Answer, Probe };
-
 /// Limit on the requests from all hosts together that one process of a target
 /// names in its answers, as one host knows it.
 struct TargetRateLimit {
@@ -27,12 +25,12 @@
 /// Records that an answer has named a limit. HostCount is the number of hosts
 /// that may know it.
 void recordRateLimit(TargetRateLimit &Limit, double RequestsPerSecond,
-                     RateLimitSource Source, std::size_t HostCount,
-                     TimePoint Now, Random &Generator);
+                     SignalSource Source, std::size_t HostCount, TimePoint Now,
+                     Random &Generator);
 
 /// Returns true when an answer without a limit, to a request or probe that was
 /// sent at SentAt, shows that the limit has ended.
-bool endsRateLimit(const TargetRateLimit &Limit, RateLimitSource Source,
+bool endsRateLimit(const TargetRateLimit &Limit, SignalSource Source,
                    TimePoint SentAt);
 
 /// Puts off the next check. Called when a request is sent as a check.
--- a/Services/Gateway/GatewayState.cpp
+++ b/Services/Gateway/GatewayState.cpp
@@ -27,23 +27,6 @@
 // for longer is alone, or all hosts have restarted without the store.
 constexpr Duration EvacuationWaitMaximum = std::chrono::milliseconds(1500);
 
-std::string_view signalSourceName(SignalSource Source) {
-  switch (Source) {
-  case SignalSource::Answer:
-    return "answer";
-  case SignalSource::Probe:
-    return "probe";
-  case SignalSource::Host:
-    return "host";
-  }
-  return "unknown";
-}
-
-RateLimitSource rateLimitSource(SignalSource Source) {
-  return Source == SignalSource::Probe ? RateLimitSource::Probe
-                                       : RateLimitSource::Answer;
-}
-
 std::uint64_t milliseconds(Duration Time) {
   return static_cast<std::uint64_t>(
       std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -291,8 +274,7 @@
       if (!Verdict.IsAdmitted)
         continue;
     }
-    const RateLimitVerdict Limited =
-        RateLimits.empty() ? RateLimitVerdict{} : RateLimits.judge(Registered);
+    const RateLimitVerdict Limited = RateLimits.judge(Registered);
     if (Limited.RoomAt && (!Listed.EarliestLimitRoom ||
                            *Limited.RoomAt < *Listed.EarliestLimitRoom))
       Listed.EarliestLimitRoom = Limited.RoomAt;
@@ -336,12 +318,12 @@
   if (Signals.Pause)
     recordPause(Sender, *Signals.Pause, Source);
   if (Signals.RateLimit)
-    RateLimits.record(Sender, *Signals.RateLimit, rateLimitSource(Source));
+    RateLimits.record(Sender, *Signals.RateLimit, Source);
 }
 
 void GatewayState::recordUnlimited(const TargetProcess &Process,
                                    SignalSource Source, TimePoint SentAt) {
-  RateLimits.recordUnlimited(Process, rateLimitSource(Source), SentAt);
+  RateLimits.recordUnlimited(Process, Source, SentAt);
 }
 
 void GatewayState::recordLeaving(const TargetProcess &Process,
--- a/Services/Gateway/GatewayState.h
+++ b/Services/Gateway/GatewayState.h
@@ -17,6 +17,7 @@
 #include <LibPlaces/Evacuations.h>
 #include <LibPlaces/TargetShares.h>
 #include <LibRouting/Outlier.h>
+#include <LibRouting/SignalSource.h>
 #include <LibRouting/TargetPause.h>
 
 #include <map>
@@ -38,9 +39,6 @@
   Attempt,
 };
 
-/// Where this host has learned that a target leaves or pauses.
-enum class SignalSource { Answer, Probe, Host };
-
 /// Pause of one process of a target, and the resumption after it.
 struct KnownPause {
   TargetPause Pause;
--- a/Services/Gateway/RateLimitedTargets.cpp
+++ b/Services/Gateway/RateLimitedTargets.cpp
@@ -14,10 +14,6 @@
 // Registrations disappear for a few seconds while the store is away.
 constexpr Duration UnregisteredTime = std::chrono::seconds(60);
 
-std::string_view sourceName(RateLimitSource Source) {
-  return Source == RateLimitSource::Probe ? "probe" : "answer";
-}
-
 // A target whose answers to probes name the limit is probed before a request is
 // sent as a check, so that its answer decides.
 RateLimitVerdict decide(const TargetRateLimit &Limit, const ShareVerdict &Share,
@@ -44,8 +40,7 @@
 }
 
 void RateLimitedTargets::record(const TargetProcess &Process,
-                                double RequestsPerSecond,
-                                RateLimitSource Source) {
+                                double RequestsPerSecond, SignalSource Source) {
   const auto Position = Limits.find(Process);
   const bool IsNew = Position == Limits.end();
   const bool IsChanged =
@@ -65,7 +60,7 @@
 }
 
 void RateLimitedTargets::recordUnlimited(const TargetProcess &Process,
-                                         RateLimitSource Source,
+                                         SignalSource Source,
                                          TimePoint SentAt) {
   const auto Position = Limits.find(Process);
   if (Position == Limits.end() ||
@@ -88,28 +83,38 @@
 
 RateLimitVerdict
 RateLimitedTargets::judge(const TargetRegistration &Registered) const {
-  const auto Known = Limits.find(processOf(Registered));
-  if (Known == Limits.end())
+  const TargetRateLimit *Limit = find(Registered);
+  if (Limit == nullptr)
     return {};
   const TimePoint Now = TimeSource.now();
-  return decide(Known->second,
+  return decide(*Limit,
                 judgeShare(Shares, Registered.Id, Registered.Domain,
-                           Known->second.RequestsPerSecond, Now),
+                           Limit->RequestsPerSecond, Now),
                 Now);
 }
 
 RateLimitVerdict
 RateLimitedTargets::preview(const TargetRegistration &Registered) const {
-  const auto Known = Limits.find(processOf(Registered));
-  if (Known == Limits.end())
+  const TargetRateLimit *Limit = find(Registered);
+  if (Limit == nullptr)
     return {};
   const TimePoint Now = TimeSource.now();
-  return decide(Known->second,
+  return decide(*Limit,
                 previewShare(Shares, Registered.Id, Registered.Domain,
-                             Known->second.RequestsPerSecond, Now),
+                             Limit->RequestsPerSecond, Now),
                 Now);
 }
 
+// Each request asks for each target of its service, so the process is not
+// copied where no target has a limit.
+const TargetRateLimit *
+RateLimitedTargets::find(const TargetRegistration &Registered) const {
+  if (Limits.empty())
+    return nullptr;
+  const auto Known = Limits.find(processOf(Registered));
+  return Known == Limits.end() ? nullptr : &Known->second;
+}
+
 void RateLimitedTargets::beginAttempt(const TargetProcess &Process) {
   const auto Known = Limits.find(Process);
   if (Known == Limits.end())
@@ -128,11 +133,11 @@
 void RateLimitedTargets::log(std::string_view Event,
                              const TargetProcess &Process,
                              const TargetRateLimit &Limit,
-                             RateLimitSource Source) {
+                             SignalSource Source) {
   LogLine Line(Event);
   Line.field("target", Process.Id.Value)
       .field("started_at_ms", Process.StartedAtMilliseconds)
-      .field("source", sourceName(Source))
+      .field("source", signalSourceName(Source))
       .field("requests_per_1000_s",
              static_cast<std::uint64_t>(Limit.RequestsPerSecond * 1000));
   Events.writeAlways(LogLevel::Info, Line);
--- a/Services/Gateway/RateLimitedTargets.h
+++ b/Services/Gateway/RateLimitedTargets.h
@@ -44,9 +44,9 @@
 
   /// Records that a process has named a limit.
   void record(const TargetProcess &Process, double RequestsPerSecond,
-              RateLimitSource Source);
+              SignalSource Source);
   /// Records that a process has answered without naming a limit.
-  void recordUnlimited(const TargetProcess &Process, RateLimitSource Source,
+  void recordUnlimited(const TargetProcess &Process, SignalSource Source,
                        TimePoint SentAt);
   /// Forgets processes that are not registered any more.
   void removeUnregistered(const TargetDirectory &Directory);
@@ -59,13 +59,14 @@
   /// Takes back an attempt that another target at the address has turned away.
   void withdrawAttempt(const TargetProcess &Process, TimePoint SentAt);
 
-  bool empty() const { return Limits.empty(); }
   std::size_t size() const { return Limits.size(); }
   const RateLimitCounts &counts() const { return Counts; }
 
 private:
+  /// Returns the limit of the registered process, or null without one.
+  const TargetRateLimit *find(const TargetRegistration &Registered) const;
   void log(std::string_view Event, const TargetProcess &Process,
-           const TargetRateLimit &Limit, RateLimitSource Source);
+           const TargetRateLimit &Limit, SignalSource Source);
 
   const Clock &TimeSource;
   Random &Generator;
--- a/Tests/LibPlaces/TestRateLimitShare.cpp
+++ b/Tests/LibPlaces/TestRateLimitShare.cpp
@@ -1,6 +1,6 @@
 #include <LibPlaces/RateLimitShare.h>
 
-#include <algorithm>
+#include <cmath>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
--- a/Tests/LibRouting/TestTargetRateLimit.cpp
+++ b/Tests/LibRouting/TestTargetRateLimit.cpp
@@ -9,7 +9,7 @@
 
 class TargetRateLimitTest : public testing::Test {
 protected:
-  void name(RateLimitSource Source, TimePoint At, double PerSecond = 2,
+  void name(SignalSource Source, TimePoint At, double PerSecond = 2,
             std::size_t Hosts = 10) {
     recordRateLimit(Limit, PerSecond, Source, Hosts, At, Generator);
   }
@@ -21,21 +21,21 @@
 
 // Guards against a limit that ends with an answer from before it was named.
 TEST_F(TargetRateLimitTest, OnlyAnswersToLaterRequestsEndIt) {
-  name(RateLimitSource::Answer, Start);
-  EXPECT_FALSE(endsRateLimit(Limit, RateLimitSource::Answer, Start - 1ms));
-  EXPECT_TRUE(endsRateLimit(Limit, RateLimitSource::Answer, Start));
-  name(RateLimitSource::Answer, Start + 1s);
-  EXPECT_FALSE(endsRateLimit(Limit, RateLimitSource::Answer, Start));
+  name(SignalSource::Answer, Start);
+  EXPECT_FALSE(endsRateLimit(Limit, SignalSource::Answer, Start - 1ms));
+  EXPECT_TRUE(endsRateLimit(Limit, SignalSource::Answer, Start));
+  name(SignalSource::Answer, Start + 1s);
+  EXPECT_FALSE(endsRateLimit(Limit, SignalSource::Answer, Start));
 }
 
 // Guards against a limit that ends with every probe of a target whose health
 // path does not name limits.
 TEST_F(TargetRateLimitTest, ProbesEndItOnlyWhereTheyNameLimits) {
-  name(RateLimitSource::Answer, Start);
-  EXPECT_FALSE(endsRateLimit(Limit, RateLimitSource::Probe, Start + 1s));
-  name(RateLimitSource::Probe, Start);
-  name(RateLimitSource::Answer, Start);
-  EXPECT_TRUE(endsRateLimit(Limit, RateLimitSource::Probe, Start + 1s));
+  name(SignalSource::Answer, Start);
+  EXPECT_FALSE(endsRateLimit(Limit, SignalSource::Probe, Start + 1s));
+  name(SignalSource::Probe, Start);
+  name(SignalSource::Answer, Start);
+  EXPECT_TRUE(endsRateLimit(Limit, SignalSource::Probe, Start + 1s));
 }
 
 // Guards against checks by request that together exceed the limit.
@@ -45,7 +45,7 @@
       double Checks = 0;
       for (std::size_t Host = 0; Host < Hosts; ++Host) {
         Limit = {};
-        name(RateLimitSource::Answer, Start, PerSecond, Hosts);
+        name(SignalSource::Answer, Start, PerSecond, Hosts);
         EXPECT_GE(Limit.RecheckAt, Start + 5s);
         Checks +=
             1 / std::chrono::duration<double>(Limit.RecheckAt - Start).count();
@@ -56,7 +56,7 @@
 
 // Guards against targets that stay out of use long after their limits.
 TEST_F(TargetRateLimitTest, ChecksByProbeAreFrequent) {
-  name(RateLimitSource::Probe, Start, 1, 1000);
+  name(SignalSource::Probe, Start, 1, 1000);
   EXPECT_LE(Limit.RecheckAt, Start + 5s);
 }
 
