Tests/Gateway: Share what two tests of relays wrote twice

Both tests of relayed requests made the same request, and the silent listener was a class where an acceptor that nobody reads does. All assertions stay; CutOffHostTest and the tests of relayed requests pass.

--- a/Tests/Gateway/TestCutOffHost.cpp
+++ b/Tests/Gateway/TestCutOffHost.cpp
@@ -17,27 +17,9 @@
 /// its store names other addresses for the same targets.
 class CutOffHostTest : public testing::Test {
 protected:
-  CutOffHostTest() {
-    EXPECT_TRUE(Target->listen({"127.0.0.1", 0}));
-    EXPECT_TRUE(Unreachable.listen(asio::ip::tcp::v4()));
-  }
+  CutOffHostTest() { EXPECT_TRUE(Target->listen({"127.0.0.1", 0})); }
   ~CutOffHostTest() override { Target->close(); }
 
-  /// A listener that accepts connections and never answers.
-  struct SilentListener {
-    explicit SilentListener(const Executor &Context) : Acceptor(Context) {}
-    bool listen(const asio::ip::tcp &Protocol) {
-      Acceptor.open(Protocol);
-      Acceptor.bind({asio::ip::make_address("127.0.0.1"), 0});
-      Acceptor.listen();
-      return Acceptor.is_open();
-    }
-    Endpoint endpoint() const {
-      return {"127.0.0.1", Acceptor.local_endpoint().port()};
-    }
-    TcpAcceptor Acceptor;
-  };
-
   static std::string hostAddress(int Index) {
     const auto Run = static_cast<unsigned>(::getpid());
     return "127." + std::to_string(192 + Run / 256 % 32) + "." +
@@ -181,7 +163,9 @@
   SystemClock TimeSource;
   soak::ObjectStoreStandIn WestStore{Loop.get_executor(), TimeSource};
   soak::ObjectStoreStandIn EastStore{Loop.get_executor(), TimeSource};
-  SilentListener Unreachable{Loop.get_executor()};
+  /// Connections to it are made and never answered.
+  TcpAcceptor Silent{
+      Loop, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)};
   std::shared_ptr<HttpServer> Target = std::make_shared<HttpServer>(
       Loop.get_executor(), TimeSource, HttpLimits{},
       [this](HttpRequest Request, std::shared_ptr<Disconnect>) {
@@ -198,7 +182,7 @@
 
 // Guards against refusals by a host whose packets to all targets are dropped.
 TEST_F(CutOffHostTest, CallersAreServedWhileTargetsAreSilent) {
-  start(Unreachable.endpoint());
+  start({"127.0.0.1", Silent.local_endpoint().port()});
   callUntilNoticed();
   expectAllServed();
 }
--- a/Tests/Gateway/TestRequestExecution.cpp
+++ b/Tests/Gateway/TestRequestExecution.cpp
@@ -263,6 +263,17 @@
     return finish();
   }
 
+  /// Sends a request that another host has relayed with so many attempts left.
+  HttpResponse sendRelayed(const std::string &Attempts) {
+    HttpRequest Request(http::verb::get, "/x/1", 11);
+    Request.set(http::field::host, "a.example");
+    Request.set("Request-Id", "r-1");
+    Request.set("Comfreyrill-Relay-Attempts", Attempts);
+    start(std::make_shared<RequestExecution>(Dependencies, Prober, *Quarantine,
+                                             std::move(Request), "192.0.2.1"));
+    return finish();
+  }
+
   /// Configures a limit for cold targets. This host has no share of it, because
   /// it does not know the hosts of its domain.
   void configureColdLimit() {
@@ -1514,13 +1525,7 @@
   configure(ExecutionSemantics::Idempotent);
   FakeTarget &First = addTarget(answerShed);
   FakeTarget &Second = addTarget(answerShed);
-  HttpRequest Request(http::verb::get, "/x/1", 11);
-  Request.set(http::field::host, "a.example");
-  Request.set("Request-Id", "r-1");
-  Request.set("Comfreyrill-Relay-Attempts", "1");
-  start(std::make_shared<RequestExecution>(Dependencies, Prober, *Quarantine,
-                                           std::move(Request), "192.0.2.1"));
-  EXPECT_EQ(finish().result(), http::status::service_unavailable);
+  EXPECT_EQ(sendRelayed("1").result(), http::status::service_unavailable);
   EXPECT_EQ(First.Runs + Second.Runs, 1);
 }
 
@@ -1533,14 +1538,8 @@
   for (const char *Id : {"i-1", "i-2"})
     CurrentState.reachability().recordConnectionFailure(TargetId(Id),
                                                         TimeSource.now());
-  HttpRequest Request(http::verb::get, "/x/1", 11);
-  Request.set(http::field::host, "a.example");
-  Request.set("Request-Id", "r-1");
-  Request.set("Comfreyrill-Relay-Attempts", "2");
   const TimePoint Begin = TimeSource.now();
-  start(std::make_shared<RequestExecution>(Dependencies, Prober, *Quarantine,
-                                           std::move(Request), "192.0.2.1"));
-  const HttpResponse Refused = finish();
+  const HttpResponse Refused = sendRelayed("2");
   EXPECT_LT(TimeSource.now() - Begin, 100ms);
   EXPECT_EQ(Refused.result(), http::status::service_unavailable);
   EXPECT_EQ(Refused.body(), R"({"reason":"cut_off"})");
