LibPlaces: Bound the shares of low limits by their windows

Hosts with different views of each other could together send a target more than its limit allows when that is below one request per second: 9 requests in 4 s with 0.5 per second, 8 are allowed. The bound on the hosts that may be assigned took a share to count for at most five seconds in four, which holds for windows of up to one second only; those of low limits are longer. It is now computed from the share itself.

LowLimitsHoldWhenEachHostBelievesToBeAlone failed for 0.01, 0.1, 0.3 and 0.5 per second and passes.

--- a/Libraries/LibPlaces/RateLimitShare.cpp
+++ b/Libraries/LibPlaces/RateLimitShare.cpp
@@ -1,6 +1,7 @@
 #include <LibPlaces/RateLimitShare.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace comfreyrill {
 
@@ -8,12 +9,17 @@
 
 constexpr double LimitMinimum = 0.01;
 constexpr double LimitMaximum = 1e5;
-// A window of a share may begin just before the four seconds and another one
-// end just after them, so a share can count for up to five seconds in four.
-// What that leaves of 1.5 times the limit and five requests is shared by hosts
-// with other views.
-constexpr double SpareLimitFactor = 1.5 * 4 / 5 - 1;
-constexpr double SpareRequestsPerSecond = 5.0 / 5;
+// What a target may get in the time over which its requests are counted.
+constexpr double CountedSeconds = 4;
+constexpr double AllowedLimitFactor = 1.5;
+constexpr double AllowedSlack = 5;
+
+// One window of the share may end and another one begin within the counted
+// time, so it counts for one window more than fits in.
+double largestCount(const HostShare &Share) {
+  const double Window = std::chrono::duration<double>(Share.Window).count();
+  return Share.Requests * (std::floor(CountedSeconds / Window + 1e-9) + 1);
+}
 
 } // namespace
 
@@ -30,15 +36,17 @@
       std::clamp(static_cast<std::uint32_t>(Limit), 1U,
                  static_cast<std::uint32_t>(Hosts.Others.size()) + 1U);
   const double PerHost = Limit / Assigned;
-  const auto Spare = static_cast<std::uint32_t>(
-      (SpareLimitFactor * Limit + SpareRequestsPerSecond) / PerHost);
-  const HostRank Rank = rankHost(Hosts, Target);
-  if (Rank.LiveBefore >= Assigned || Rank.KnownBefore >= Assigned + Spare)
-    return {};
   HostShare Share;
   Share.Requests = static_cast<std::uint32_t>(std::max(1.0, PerHost));
   Share.Window = std::chrono::duration_cast<Duration>(
       std::chrono::duration<double>(Share.Requests / PerHost));
+  // Hosts with other views may believe that they are assigned, too.
+  const auto HostsMaximum = static_cast<std::uint32_t>(
+      (AllowedLimitFactor * CountedSeconds * Limit + AllowedSlack) /
+      largestCount(Share));
+  const HostRank Rank = rankHost(Hosts, Target);
+  if (Rank.LiveBefore >= Assigned || Rank.KnownBefore >= HostsMaximum)
+    return {};
   return Share;
 }
 
--- a/Tests/LibPlaces/TestRateLimitShare.cpp
+++ b/Tests/LibPlaces/TestRateLimitShare.cpp
@@ -53,6 +53,21 @@
   RC_ASSERT(Sum <= 1.5 * 4 * Limit + 5);
 }
 
+// Guards against hosts that each believe to be alone and exceed a limit below
+// one request per second, whose windows are long.
+TEST(RateLimitShare, LowLimitsHoldWhenEachHostBelievesToBeAlone) {
+  for (const double Limit : {0.01, 0.1, 0.3, 0.5, 0.9, 1.0, 1.9, 3.0, 12.0}) {
+    double Sum = 0;
+    for (std::size_t Self = 0; Self < 14; ++Self) {
+      DomainHosts View = viewOf(Self, 14);
+      for (DomainHost &Other : View.Others)
+        Other.IsLive = false;
+      Sum += requestsIn4s(rateLimitShare(View, Target, Limit));
+    }
+    EXPECT_LE(Sum, 1.5 * 4 * Limit + 5) << Limit;
+  }
+}
+
 // Guards against use of a target by a host that is cut off or by anyone when
 // the target takes nothing.
 TEST(RateLimitShare, NothingIsSharedWithoutOthersOrLimit) {
